--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,99 @@
+import asyncio
+
+import helpers
+from returns import result
+
+from toucanfold import link, messages
+
+SECRET = b"0123456789abcdef"
+
+
+class Recorder:
+    """Owner that keeps what it is told."""
+
+    def __init__(self):
+        self.opened = []
+        self.received = []
+        self.closed = []
+
+    def on_open(self, opened):
+        self.opened.append(opened)
+
+    def on_message(self, source, message):
+        self.received.append(message)
+
+    def on_close(self, closed, reason):
+        self.closed.append(reason)
+
+
+def identity(name, secret=SECRET, fleet="f"):
+    return link.Identity(fleet, secret, "daemon", name, 1)
+
+
+async def pair(opener, acceptor):
+    address = helpers.free_address()
+    owners = Recorder(), Recorder()
+    server = await link.listen(address, acceptor, owners[1])
+    connected = await link.connect(address, opener, owners[0])
+    return server, connected, owners
+
+
+def test_messages_arrive_in_order():
+    async def scenario():
+        server, connected, owners = await pair(identity("a"), identity("b"))
+        opened = connected.unwrap()
+        for number in range(100):
+            opened.send(messages.Cancel(number))
+        await asyncio.sleep(0.1)
+        assert [item.id for item in owners[1].received] == list(range(100))
+        assert owners[1].opened[0].peer.name == "a"
+        opened.close("done")
+        await asyncio.sleep(0.05)
+        assert owners[0].closed == ["done"]
+        assert len(owners[1].closed) == 1
+        server.close()
+
+    helpers.run(scenario())
+
+
+def test_peer_without_the_secret_is_refused():
+    """Guards against an unauthenticated process that joins the fleet."""
+
+    async def scenario():
+        other = identity("a", secret=b"another secret of 16")
+        server, connected, owners = await pair(other, identity("b"))
+        assert isinstance(connected, result.Failure)
+        assert owners[1].opened == []
+        server.close()
+
+    helpers.run(scenario())
+
+
+def test_message_before_the_handshake_closes():
+    async def scenario():
+        address = helpers.free_address()
+        owner = Recorder()
+        server = await link.listen(address, identity("b"), owner)
+        reader, writer = await asyncio.open_connection(*link.split_address(address))
+        writer.write(messages.encode(messages.Cancel(1)))
+        assert await reader.read() == b""
+        assert owner.received == []
+        writer.close()
+        server.close()
+
+    helpers.run(scenario())
+
+
+def test_silent_peer_is_closed():
+    """Guards against a connection that stays open although nothing comes through."""
+
+    async def scenario():
+        server, connected, owners = await pair(identity("a"), identity("b"))
+        opened = connected.unwrap()
+        owners[1].opened[0]._transport.pause_reading()
+        await asyncio.sleep(link.SILENCE_LIMIT_S + 2 * link.HEARTBEAT_S)
+        assert not opened.is_open
+        assert len(owners[0].closed) == 1
+        server.close()
+
+    helpers.run(scenario())
--- /dev/null
+++ b/toucanfold/calls.py
@@ -0,0 +1,271 @@
+"""Calls, answers and refusals inside a daemon, and tokens for nested calls."""
+
+import dataclasses
+import enum
+import hashlib
+import secrets
+from collections.abc import AsyncIterator
+
+PRIORITY_LEVELS = 128
+MAX_LEVEL = 4 * PRIORITY_LEVELS
+
+
+class Outcome(enum.IntEnum):
+    """Whether a request ran at its target."""
+
+    NOT_RUN = 1
+    RAN = 2
+    UNKNOWN = 3
+
+    @property
+    def header_value(self) -> str:
+        """The value of the Toucanfold-Outcome header."""
+        return self.name.lower().replace("_", "-")
+
+
+class Kind(enum.StrEnum):
+    """Kinds of refusals."""
+
+    BAD_REQUEST = "bad_request"
+    KEY_REFUSED = "key_refused"
+    NO_ROUTE = "no_route"
+    REQUEST_TIMEOUT = "request_timeout"
+    CONFLICT = "conflict"
+    STILL_RUNNING = "still_running"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TOO_LARGE = "too_large"
+    RATE_EXCEEDED = "rate_exceeded"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    OVERLOADED = "overloaded"
+    NO_TARGET = "no_target"
+    STOPPING = "stopping"
+    CONTROL_STALE = "control_stale"
+    RETRIES_EXHAUSTED = "retries_exhausted"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    TARGET_FAILED = "target_failed"
+
+
+STATUSES = {
+    Kind.BAD_REQUEST: 400,
+    Kind.KEY_REFUSED: 401,
+    Kind.NO_ROUTE: 404,
+    Kind.REQUEST_TIMEOUT: 408,
+    Kind.CONFLICT: 409,
+    Kind.STILL_RUNNING: 409,
+    Kind.OUTCOME_UNKNOWN: 409,
+    Kind.TOO_LARGE: 413,
+    Kind.RATE_EXCEEDED: 429,
+    Kind.HEADERS_TOO_LARGE: 431,
+    Kind.OVERLOADED: 503,
+    Kind.NO_TARGET: 503,
+    Kind.STOPPING: 503,
+    Kind.CONTROL_STALE: 503,
+    Kind.RETRIES_EXHAUSTED: 503,
+    Kind.DEADLINE_EXCEEDED: 504,
+    Kind.TARGET_FAILED: 502,
+}
+
+REMEDIES = {
+    Kind.BAD_REQUEST: "correct the request",
+    Kind.KEY_REFUSED: "send a valid key of the client account",
+    Kind.NO_ROUTE: "ask the operator to add a route for this service and path",
+    Kind.REQUEST_TIMEOUT: "send the whole request faster",
+    Kind.CONFLICT: "use a new idempotency key for a different request",
+    Kind.STILL_RUNNING: "send the same request again after the retry time",
+    Kind.OUTCOME_UNKNOWN: "look up the result before sending it under a new key",
+    Kind.TOO_LARGE: "send a smaller body",
+    Kind.RATE_EXCEEDED: "send less, or ask the operator for a higher rate",
+    Kind.HEADERS_TOO_LARGE: "send fewer or shorter headers",
+    Kind.OVERLOADED: "retry after the retry time",
+    Kind.NO_TARGET: "retry later; the operator should check the service's targets",
+    Kind.STOPPING: "retry at another instance",
+    Kind.CONTROL_STALE: "retry at another instance; control cannot be reached here",
+    Kind.RETRIES_EXHAUSTED: "retry after the retry time",
+    Kind.DEADLINE_EXCEEDED: "allow more time, or retry when load is lower",
+    Kind.TARGET_FAILED: "check the result before repeating a non-idempotent request",
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Refusal:
+    """Why a call has no answer of a target, and whether it ran."""
+
+    kind: Kind
+    outcome: Outcome = Outcome.NOT_RUN
+    message: str = ""
+    retry_after_ms: int = 0
+
+    @property
+    def status(self) -> int:
+        """HTTP status towards the caller."""
+        return STATUSES[self.kind]
+
+    @property
+    def remedy(self) -> str:
+        """What the caller or operator can do."""
+        return REMEDIES[self.kind]
+
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request on its way to a target; times are monotonic seconds.
+
+    body_stream is None when body holds the whole body.
+    """
+
+    root_id: str
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    account: str
+    rank: int
+    idempotent: bool
+    deadline: float
+    root_started_at: float
+    route: str = ""
+    weight: float = 1.0
+    depth: int = 0
+    priority: int = 0
+    attempts_left: int = 0
+    idempotency_key: str = ""
+    slot: int = -1
+    slot_epoch: int = 0
+    body_stream: AsyncIterator[bytes] | None = None
+
+    @property
+    def level(self) -> int:
+        """Level compared with thresholds; lower is more important."""
+        return self.rank * PRIORITY_LEVELS + self.priority
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether the whole body is at hand for another attempt."""
+        return self.body_stream is None
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """A target's answer, or a refusal; levels and limits are of the answering daemon.
+
+    body_stream is None when body holds the whole body.
+    """
+
+    status: int = 0
+    headers: Headers = dataclasses.field(default_factory=list)
+    body: bytes = b""
+    outcome: Outcome = Outcome.RAN
+    refusal: Refusal | None = None
+    attempts_spent: int = 0
+    retried: bool = False
+    level: int = MAX_LEVEL
+    limit: int = 0
+    in_flight: int = 0
+    body_stream: AsyncIterator[bytes] | None = None
+
+    @classmethod
+    def refused(cls, refusal: Refusal) -> "Answer":
+        """Return the answer that carries a refusal."""
+        return cls(status=refusal.status, outcome=refusal.outcome, refusal=refusal)
+
+
+def refuse(
+    kind: Kind,
+    message: str,
+    outcome: Outcome = Outcome.NOT_RUN,
+    retry_after_ms: int = 0,
+) -> Answer:
+    """Return a refused answer."""
+    return Answer.refused(Refusal(kind, outcome, message, retry_after_ms))
+
+
+def new_root_id() -> str:
+    """Return a random id for a root request."""
+    return secrets.token_hex(8)
+
+
+def priority_of(root_id: str) -> int:
+    """Return the priority of a root request, equal on every hop."""
+    digest = hashlib.blake2b(root_id.encode(), digest_size=2).digest()
+    return int.from_bytes(digest, "big") % PRIORITY_LEVELS
+
+
+class CallToken:
+    """What a daemon knows about a dispatched call when its target calls on."""
+
+    __slots__ = (
+        "active_children",
+        "attempts_left",
+        "attempts_spent",
+        "call",
+        "child_seconds",
+        "child_since",
+        "level",
+        "text",
+    )
+
+    def __init__(self, text: str, call: Call):
+        self.text = text
+        self.call = call
+        self.attempts_left = call.attempts_left
+        self.attempts_spent = 0
+        self.active_children = 0
+        self.child_seconds = 0.0
+        self.child_since = 0.0
+        self.level = MAX_LEVEL
+
+    def reserve_attempts(self) -> int:
+        """Give all attempts that are left to one child call."""
+        reserved, self.attempts_left = self.attempts_left, 0
+        return reserved
+
+    def child_started(self, now: float) -> None:
+        """Count a child call, to exclude its time from the target's own time."""
+        if self.active_children == 0:
+            self.child_since = now
+        self.active_children += 1
+
+    def child_ended(self, now: float, reserved: int, spent: int, level: int) -> None:
+        """Return what the child call did not spend and learn its level."""
+        self.active_children -= 1
+        if self.active_children == 0:
+            self.child_seconds += now - self.child_since
+        spent = min(spent, reserved)
+        self.attempts_left += reserved - spent
+        self.attempts_spent += spent
+        self.level = min(self.level, level)
+
+    def own_seconds(self, started_at: float, now: float) -> float:
+        """Return the time since dispatch without waits for child calls."""
+        waiting = now - self.child_since if self.active_children else 0.0
+        return max(0.0, now - started_at - self.child_seconds - waiting)
+
+
+class TokenTable:
+    """Tokens of the calls that run at this daemon's target."""
+
+    __slots__ = ("_tokens",)
+
+    def __init__(self) -> None:
+        self._tokens: dict[str, CallToken] = {}
+
+    def __len__(self) -> int:
+        return len(self._tokens)
+
+    def mint(self, call: Call) -> CallToken:
+        """Create the token of a call which is about to be dispatched."""
+        token = CallToken(secrets.token_urlsafe(24), call)
+        self._tokens[token.text] = token
+        return token
+
+    def find(self, text: str) -> CallToken | None:
+        """Return the token's record, None if its call has ended."""
+        return self._tokens.get(text)
+
+    def end(self, token: CallToken) -> None:
+        """End a token together with its call."""
+        self._tokens.pop(token.text, None)
--- /dev/null
+++ b/toucanfold/exceptions.py
@@ -0,0 +1,87 @@
+"""Typed errors; every message states the problem and its remedy."""
+
+
+class ToucanfoldError(Exception):
+    """Base of all errors, with a message and the remedy for an operator."""
+
+    def __init__(self, message: str, remedy: str):
+        super().__init__(f"{message}. Remedy: {remedy}.")
+        self.message = message
+        self.remedy = remedy
+
+
+class SettingsError(ToucanfoldError):
+    """A settings file holds an unknown, missing or invalid value."""
+
+    def __init__(self, file: str, section: str, option: str, message: str, remedy: str):
+        super().__init__(f"{file}: [{section}] {option}: {message}", remedy)
+        self.file = file
+        self.section = section
+        self.option = option
+
+
+class ValidationError(ToucanfoldError):
+    """A profile, route, client account or key is not acceptable."""
+
+
+class ConflictError(ToucanfoldError):
+    """The expected revision of an object is not its present revision."""
+
+    def __init__(self, message: str, remedy: str, present_revision: int):
+        super().__init__(message, remedy)
+        self.present_revision = present_revision
+
+
+class NotLeaderError(ToucanfoldError):
+    """The control instance is not the leader or could not confirm its lead."""
+
+    def __init__(self, message: str, remedy: str, leader: str | None = None):
+        super().__init__(message, remedy)
+        self.leader = leader
+
+
+class StorageError(ToucanfoldError):
+    """The data folder cannot be read or written."""
+
+
+class DiskFullError(StorageError):
+    """The data folder has no space left, so changes are refused."""
+
+
+class CorruptionError(StorageError):
+    """A stored file is damaged at a known offset."""
+
+    def __init__(self, file: str, offset: int, message: str, remedy: str):
+        super().__init__(f"{file} at offset {offset}: {message}", remedy)
+        self.file = file
+        self.offset = offset
+
+
+class LinkError(ToucanfoldError):
+    """A link to another process could not be opened, or was lost."""
+
+
+class AuthenticationError(LinkError):
+    """The peer did not prove that it knows the fleet secret."""
+
+
+class HttpError(ToucanfoldError):
+    """An HTTP peer broke the protocol or a limit."""
+
+    def __init__(self, status: int, kind: str, message: str, remedy: str):
+        super().__init__(message, remedy)
+        self.status = status
+        self.kind = kind
+
+
+class UnknownPluginError(ToucanfoldError):
+    """A profile or setting names a plug-in which is not registered."""
+
+
+class AdminError(ToucanfoldError):
+    """The operators' API answered with an error."""
+
+    def __init__(self, status: int, kind: str, message: str, remedy: str):
+        super().__init__(message, remedy)
+        self.status = status
+        self.kind = kind
--- /dev/null
+++ b/toucanfold/messages.py
@@ -0,0 +1,415 @@
+"""Typed messages between processes and their pycapnp codec."""
+
+import dataclasses
+import pathlib
+from typing import Any, ClassVar
+
+import capnp
+
+SCHEMA_PATH = pathlib.Path(__file__).with_name("messages.capnp")
+MAX_FRAME_BYTES = 1 << 20
+LENGTH_BYTES = 4
+
+_schema = capnp.load(str(SCHEMA_PATH))
+
+
+class Message:
+    """Base of all messages; subclasses are dataclasses with slots."""
+
+    __slots__ = ()
+
+    # The field of the Frame union, or "" for parts of other messages.
+    TAG: ClassVar[str] = ""
+    # Classes of the fields that hold a message or a list of messages.
+    NESTED: ClassVar[dict[str, type["Message"]]] = {}
+
+
+@dataclasses.dataclass(slots=True)
+class Hello(Message):
+    """First frame of each side: who it is and a fresh nonce."""
+
+    TAG = "hello"
+    fleet: str = ""
+    role: str = ""
+    name: str = ""
+    incarnation: int = 0
+    nonce: bytes = b""
+    region: str = ""
+    data_centre: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Proof(Message):
+    """Second frame of each side: HMAC over both hellos."""
+
+    TAG = "proof"
+    digest: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class Ping(Message):
+    """Heartbeat request."""
+
+    TAG = "ping"
+    sequence: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Pong(Message):
+    """Heartbeat reply with the sequence of the request."""
+
+    TAG = "pong"
+    sequence: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Goaway(Message):
+    """The sender accepts no new calls on this link."""
+
+    TAG = "goaway"
+    reason: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Call(Message):
+    """A call for a target beside the receiver; times in milliseconds."""
+
+    TAG = "call"
+    id: int = 0
+    root_id: str = ""
+    service: str = ""
+    method: str = ""
+    path: str = ""
+    headers: bytes = b""
+    body: bytes = b""
+    body_more: bool = False
+    account: str = ""
+    weight: float = 1.0
+    rank: int = 0
+    depth: int = 0
+    priority: int = 0
+    root_age_ms: int = 0
+    timeout_ms: int = 0
+    attempts_left: int = 0
+    idempotent: bool = False
+    idempotency_key: str = ""
+    route: str = ""
+    slot: int = -1
+    slot_epoch: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Answer(Message):
+    """The answer or refusal of a call; kind is empty for a target's answer."""
+
+    TAG = "answer"
+    id: int = 0
+    status: int = 0
+    headers: bytes = b""
+    body: bytes = b""
+    body_more: bool = False
+    outcome: int = 0
+    kind: str = ""
+    retry_after_ms: int = 0
+    message: str = ""
+    attempts_spent: int = 0
+    retried: bool = False
+    level: int = 0
+    limit: int = 0
+    in_flight: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Body(Message):
+    """A part of a long body; aborted ends the body without completing it."""
+
+    TAG = "body"
+    id: int = 0
+    from_caller: bool = False
+    data: bytes = b""
+    last: bool = False
+    aborted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Credit(Message):
+    """Allows the sender of a body this many more bytes."""
+
+    TAG = "credit"
+    id: int = 0
+    from_caller: bool = False
+    size: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Cancel(Message):
+    """The caller no longer waits for this call."""
+
+    TAG = "cancel"
+    id: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Intent(Message):
+    """Asks the backup to record a call before its owner runs it."""
+
+    TAG = "intent"
+    id: int = 0
+    service: str = ""
+    slot: int = 0
+    epoch: int = 0
+    account: str = ""
+    key: str = ""
+    digest: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class IntentAck(Message):
+    """The backup's reply, with the epoch that it has applied."""
+
+    TAG = "intentAck"
+    id: int = 0
+    accepted: bool = False
+    epoch: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Record(Message):
+    """The outcome of a recorded call; state is an outcomes.State value."""
+
+    TAG = "record"
+    service: str = ""
+    slot: int = 0
+    epoch: int = 0
+    account: str = ""
+    key: str = ""
+    digest: bytes = b""
+    state: int = 0
+    status: int = 0
+    headers: bytes = b""
+    body: bytes = b""
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RecordSync(Message):
+    """A part of a slot's records for its new backup."""
+
+    TAG = "recordSync"
+    NESTED = {"records": Record}
+    service: str = ""
+    slot: int = 0
+    epoch: int = 0
+    records: list[Record] = dataclasses.field(default_factory=list)
+    last: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Demand(Message):
+    """What a daemon would spend for one client account (tokens/s, tokens)."""
+
+    account: str = ""
+    rate: float = 0.0
+    burst: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Share(Message):
+    """A leased part of one client account's rate (tokens/s) and burst."""
+
+    account: str = ""
+    rate: float = 0.0
+    burst: float = 0.0
+    tokens: float = 0.0
+    grant: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Announcement(Message):
+    """A daemon's description of its target; state is up or draining."""
+
+    name: str = ""
+    incarnation: int = 0
+    service: str = ""
+    region: str = ""
+    data_centre: str = ""
+    link_address: str = ""
+    state: str = "up"
+
+
+@dataclasses.dataclass(slots=True)
+class WatchPing(Message):
+    """A daemon's periodic report to control."""
+
+    TAG = "watchPing"
+    NESTED = {"announcement": Announcement, "demands": Demand, "shares": Share}
+    sequence: int = 0
+    applied_revision: int = 0
+    announcement: Announcement = dataclasses.field(default_factory=Announcement)
+    demands: list[Demand] = dataclasses.field(default_factory=list)
+    shares: list[Share] = dataclasses.field(default_factory=list)
+    raft_term: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class WatchPong(Message):
+    """Control's reply: confirmed revision, changes and granted shares."""
+
+    TAG = "watchPong"
+    NESTED = {"shares": Share}
+    sequence: int = 0
+    confirmed: bool = False
+    revision: int = 0
+    deltas: list[bytes] = dataclasses.field(default_factory=list)
+    snapshot: bytes = b""
+    shares: list[Share] = dataclasses.field(default_factory=list)
+    raft_term: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Entry(Message):
+    """One entry of the replicated log."""
+
+    index: int = 0
+    term: int = 0
+    kind: int = 0
+    data: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class Raft(Message):
+    """A message of the consensus protocol; kind is a raft.Kind value."""
+
+    TAG = "raft"
+    NESTED = {"entries": Entry}
+    kind: int = 0
+    sender: str = ""
+    receiver: str = ""
+    term: int = 0
+    last_index: int = 0
+    last_term: int = 0
+    commit: int = 0
+    entries: list[Entry] = dataclasses.field(default_factory=list)
+    granted: bool = False
+    match_index: int = 0
+    read_sequence: int = 0
+    snapshot: bytes = b""
+    snapshot_offset: int = 0
+    snapshot_done: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Relay(Message):
+    """A request from one control instance to the leader (JSON payload)."""
+
+    TAG = "relay"
+    id: int = 0
+    kind: str = ""
+    payload: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class RelayReply(Message):
+    """The leader's reply to a relay (JSON payload)."""
+
+    TAG = "relayReply"
+    id: int = 0
+    ok: bool = False
+    payload: bytes = b""
+
+
+def _camel_case(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(part.capitalize() for part in rest)
+
+
+class _Plan:
+    """Field names of one message class in Python and in the schema."""
+
+    __slots__ = ("cls", "fields", "nested", "nested_fields", "plain")
+
+    def __init__(self, cls: type[Message]):
+        self.cls = cls
+        self.nested = cls.NESTED
+        self.fields = tuple(
+            (field.name, _camel_case(field.name))
+            for field in dataclasses.fields(cls)  # type: ignore[arg-type]
+        )
+        self.plain = tuple(pair for pair in self.fields if pair[0] not in cls.NESTED)
+        self.nested_fields = tuple(
+            pair for pair in self.fields if pair[0] in cls.NESTED
+        )
+
+
+def _all_messages() -> list[type[Message]]:
+    return list(Message.__subclasses__())
+
+
+# Python 3.11 creates a second class for slots=True; the garbage collector may not
+# have removed the first one yet, so names are resolved through the module.
+_PLANS = {
+    cls: _Plan(cls) for cls in (globals()[known.__name__] for known in _all_messages())
+}
+_BY_TAG = {cls.TAG: plan for cls, plan in _PLANS.items() if cls.TAG}
+
+
+def _fill(message: Message, builder: Any) -> None:
+    """Set the fields that differ from the schema's defaults, all of them empty."""
+    plan = _PLANS[type(message)]
+    for name, camel in plan.plain:
+        value = getattr(message, name)
+        if value:
+            setattr(builder, camel, value)
+    for name, camel in plan.nested_fields:
+        value = getattr(message, name)
+        if isinstance(value, list):
+            items = builder.init(camel, len(value))
+            for index, item in enumerate(value):
+                _fill(item, items[index])
+        else:
+            _fill(value, builder.init(camel))
+
+
+def _from_reader(plan: _Plan, reader: Any) -> Message:
+    values = {name: getattr(reader, camel) for name, camel in plan.fields}
+    for name, cls in plan.nested.items():
+        inner = _PLANS[cls]
+        value = values[name]
+        if isinstance(value, capnp.lib.capnp._DynamicListReader):
+            values[name] = [_from_reader(inner, item) for item in value]
+        else:
+            values[name] = _from_reader(inner, value)
+    if plan.cls is WatchPong:
+        values["deltas"] = list(values["deltas"])
+    return plan.cls(**values)
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message: its length and the encoded message."""
+    frame = _schema.Frame.new_message()
+    _fill(message, frame.init(message.TAG))
+    payload = frame.to_bytes()
+    return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+
+
+def decode(payload: bytes) -> Message | None:
+    """Return the message of a frame without its length, None if invalid."""
+    try:
+        with _schema.Frame.from_bytes(payload) as frame:
+            tag = frame.which()
+            return _from_reader(_BY_TAG[str(tag)], getattr(frame, str(tag)))
+    except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError):
+        return None
+
+
+def pack_headers(headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Join header fields as lines; a field holds no line break (h11 checks)."""
+    return b"\r\n".join(name + b": " + value for name, value in headers)
+
+
+def unpack_headers(packed: bytes) -> list[tuple[bytes, bytes]]:
+    """Split what pack_headers joined."""
+    if not packed:
+        return []
+    pairs = (line.split(b": ", 1) for line in packed.split(b"\r\n"))
+    return [(name, value) for name, value in pairs]
--- /dev/null
+++ b/toucanfold/model.py
@@ -0,0 +1,406 @@
+"""Profiles, routes, client accounts, keys, targets and slots of one fleet."""
+
+import dataclasses
+import hashlib
+import hmac
+import json
+import re
+import secrets
+from typing import Any, TypeVar
+
+from returns import result
+
+from toucanfold import exceptions, kernel
+
+CLASS_RANKS = {"critical": 0, "important": 1, "normal": 2, "background": 3}
+TARGET_STATES = ("up", "draining", "left", "lost")
+SLOTS_PER_SERVICE = 64
+MAX_ATTEMPTS = 5
+MAX_DEADLINE_MS = 300_000
+MAX_RATE = 1e9
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+KEY_PATTERN = re.compile(rb"tfk_[0-9a-f]{12}_[0-9a-f]{40}", re.IGNORECASE)
+
+Item = TypeVar("Item", bound="Entity")
+
+
+class Entity:
+    """Base of the objects that make up the fleet state."""
+
+    __slots__ = ()
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as a JSON object."""
+        return {
+            field.name: getattr(self, field.name)
+            for field in dataclasses.fields(self)  # type: ignore[arg-type]
+        }
+
+    @classmethod
+    def from_json(
+        cls: type[Item], data: dict[str, Any]
+    ) -> result.Result[Item, exceptions.ValidationError]:
+        """Build and check an object; unknown and missing fields are errors."""
+        known = {field.name: field for field in dataclasses.fields(cls)}  # type: ignore[arg-type]
+        unknown = sorted(set(data) - set(known))
+        if unknown:
+            return _invalid(
+                f"unknown field {unknown[0]!r} in {cls.__name__.lower()}",
+                f"use only: {', '.join(known)}",
+            )
+        missing = sorted(
+            name
+            for name, field in known.items()
+            if field.default is dataclasses.MISSING and name not in data
+        )
+        if missing:
+            return _invalid(
+                f"field {missing[0]!r} of {cls.__name__.lower()} is missing",
+                "add the field",
+            )
+        problem = _type_problem(known, data)
+        if problem:
+            return _invalid(f"{cls.__name__.lower()}: {problem}", "correct its type")
+        item = cls(**data)
+        problem = item.problem()
+        if problem:
+            return _invalid(f"{cls.__name__.lower()}: {problem}", "correct the value")
+        return result.Success(item)
+
+    def problem(self) -> str:
+        """Return what is wrong with the values, or an empty string."""
+        return ""
+
+
+def _invalid(message: str, remedy: str) -> result.Failure:
+    return result.Failure(exceptions.ValidationError(message, remedy))
+
+
+def _type_problem(known: dict[str, Any], data: dict[str, Any]) -> str:
+    for name, value in data.items():
+        expected = known[name].type
+        accepted = (int, float) if expected is float else expected
+        wrong_bool = isinstance(value, bool) and expected is not bool
+        if wrong_bool or not isinstance(value, accepted):
+            return f"{name} must be of type {expected.__name__}, not {value!r}"
+        if isinstance(value, float) and value != value:
+            return f"{name} must be a number"
+    return ""
+
+
+def _name_problem(name: str) -> str:
+    if NAME_PATTERN.fullmatch(name):
+        return ""
+    return f"name {name!r} must be 1 to 63 letters, digits, dots, dashes, underscores"
+
+
+@dataclasses.dataclass(slots=True)
+class Profile(Entity):
+    """Named overload behaviour; times in milliseconds."""
+
+    name: str
+    importance: str = "normal"
+    idempotent: bool = True
+    deadline_ms: int = 2000
+    attempts: int = 1
+    hedging: bool = False
+    limiter: str = "delivery"
+    admission: str = "fair"
+    balancer: str = "nearest"
+    queue_ms: int = 500
+    queue_length: int = 1000
+    revision: int = 0
+
+    @property
+    def rank(self) -> int:
+        """Importance as a number; 0 is shed last."""
+        return CLASS_RANKS[self.importance]
+
+    def problem(self) -> str:
+        """Return what is wrong with the values, or an empty string."""
+        checks = (
+            (not _name_problem(self.name), _name_problem(self.name)),
+            (
+                self.importance in CLASS_RANKS,
+                f"importance must be one of {', '.join(CLASS_RANKS)}",
+            ),
+            (
+                1 <= self.deadline_ms <= MAX_DEADLINE_MS,
+                f"deadline_ms must be 1 to {MAX_DEADLINE_MS}",
+            ),
+            (
+                0 <= self.attempts <= MAX_ATTEMPTS,
+                f"attempts must be 0 to {MAX_ATTEMPTS}",
+            ),
+            (1 <= self.queue_ms <= MAX_DEADLINE_MS, "queue_ms must be at least 1"),
+            (1 <= self.queue_length <= 100_000, "queue_length must be 1 to 100000"),
+            (self.idempotent or not self.hedging, "hedging needs idempotent calls"),
+        )
+        for holds, message in checks:
+            if not holds:
+                return message
+        return self._plugin_problem()
+
+    def _plugin_problem(self) -> str:
+        for kind in ("limiter", "admission", "balancer"):
+            name = getattr(self, kind)
+            known = kernel.names(kind)
+            if known and name not in known:
+                return f"{kind} must be one of {', '.join(known)}"
+        return ""
+
+
+@dataclasses.dataclass(slots=True)
+class Route(Entity):
+    """Picks a profile for calls by service, method and path prefix."""
+
+    name: str
+    service: str
+    profile: str
+    method: str = "*"
+    path_prefix: str = "/"
+    open: bool = False
+    revision: int = 0
+
+    def problem(self) -> str:
+        """Return what is wrong with the values, or an empty string."""
+        if _name_problem(self.name) or _name_problem(self.service):
+            return _name_problem(self.name) or _name_problem(self.service)
+        if not self.path_prefix.startswith("/"):
+            return "path_prefix must start with /"
+        if self.method != "*" and not re.fullmatch(r"[A-Z]{1,16}", self.method):
+            return "method must be * or an upper-case HTTP method"
+        return ""
+
+
+@dataclasses.dataclass(slots=True)
+class Account(Entity):
+    """A client account with its fleet-wide rate (calls/s) and burst (calls)."""
+
+    name: str
+    rate: float
+    burst: float
+    weight: float = 1.0
+    revision: int = 0
+
+    def problem(self) -> str:
+        """Return what is wrong with the values, or an empty string."""
+        if _name_problem(self.name):
+            return _name_problem(self.name)
+        if not 0 <= self.rate <= MAX_RATE or not 0 <= self.burst <= MAX_RATE:
+            return f"rate and burst must be 0 to {MAX_RATE:g}"
+        if not 0.001 <= self.weight <= 1000:
+            return "weight must be 0.001 to 1000"
+        return ""
+
+
+@dataclasses.dataclass(slots=True)
+class Key(Entity):
+    """A client account's key; only the HMAC of the secret is kept (hex)."""
+
+    id: str
+    account: str
+    digest: str
+    revision: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Target(Entity):
+    """A target known through its daemon's announcement."""
+
+    name: str
+    incarnation: int
+    service: str
+    region: str
+    data_centre: str
+    link_address: str
+    state: str = "up"
+    revision: int = 0
+
+    def problem(self) -> str:
+        """Return what is wrong with the values, or an empty string."""
+        if _name_problem(self.name) or _name_problem(self.service):
+            return _name_problem(self.name) or _name_problem(self.service)
+        if self.state not in TARGET_STATES:
+            return f"state must be one of {', '.join(TARGET_STATES)}"
+        return ""
+
+
+@dataclasses.dataclass(slots=True)
+class Slot(Entity):
+    """Owner and backup of one slot of a service; an empty name means none."""
+
+    service: str
+    number: int
+    epoch: int
+    owner: str = ""
+    owner_incarnation: int = 0
+    backup: str = ""
+    backup_incarnation: int = 0
+    gap: bool = False
+    revision: int = 0
+
+
+class FleetState:
+    """All replicated objects by name, at one revision."""
+
+    __slots__ = (
+        "accounts",
+        "keys",
+        "profiles",
+        "revision",
+        "routes",
+        "slots",
+        "targets",
+    )
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.profiles: dict[str, Profile] = {}
+        self.routes: dict[str, Route] = {}
+        self.accounts: dict[str, Account] = {}
+        self.keys: dict[str, Key] = {}
+        self.targets: dict[str, Target] = {}
+        self.slots: dict[tuple[str, int], Slot] = {}
+
+    def route_for(self, service: str, method: str, path: str) -> Route | None:
+        """Return the route with the longest prefix; a method beats ``*``."""
+        best: Route | None = None
+        best_score = (-1, False)
+        for route in self.routes.values():
+            if route.service != service or not path.startswith(route.path_prefix):
+                continue
+            if route.method not in ("*", method):
+                continue
+            score = (len(route.path_prefix), route.method == method)
+            if score > best_score:
+                best, best_score = route, score
+        return best
+
+    def account_of(self, key_text: str, fleet_secret: bytes) -> Account | None:
+        """Return the account of a key, None unless the key is valid now."""
+        parts = split_key(key_text)
+        if parts is None:
+            return None
+        key = self.keys.get(parts[0])
+        if key is None:
+            return None
+        digest = key_digest(fleet_secret, parts[1])
+        if not hmac.compare_digest(digest, key.digest):
+            return None
+        return self.accounts.get(key.account)
+
+    def targets_of(self, service: str) -> list[Target]:
+        """Return the targets of a service in order of their names."""
+        found = (item for item in self.targets.values() if item.service == service)
+        return sorted(found, key=lambda item: item.name)
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the whole state as a JSON object."""
+        return {
+            "revision": self.revision,
+            "profiles": [item.to_json() for item in self.profiles.values()],
+            "routes": [item.to_json() for item in self.routes.values()],
+            "accounts": [item.to_json() for item in self.accounts.values()],
+            "keys": [item.to_json() for item in self.keys.values()],
+            "targets": [item.to_json() for item in self.targets.values()],
+            "slots": [item.to_json() for item in self.slots.values()],
+        }
+
+    @classmethod
+    def from_json(cls, data: dict[str, Any]) -> "FleetState":
+        """Build a state from what to_json returned."""
+        state = cls()
+        state.revision = data["revision"]
+        state.profiles = {item["name"]: Profile(**item) for item in data["profiles"]}
+        state.routes = {item["name"]: Route(**item) for item in data["routes"]}
+        state.accounts = {item["name"]: Account(**item) for item in data["accounts"]}
+        state.keys = {item["id"]: Key(**item) for item in data["keys"]}
+        state.targets = {item["name"]: Target(**item) for item in data["targets"]}
+        slots = (Slot(**item) for item in data["slots"])
+        state.slots = {(slot.service, slot.number): slot for slot in slots}
+        return state
+
+
+class Delta:
+    """The objects that one revision put or removed."""
+
+    __slots__ = ("puts", "removes", "revision")
+
+    def __init__(
+        self,
+        revision: int,
+        puts: list[tuple[str, dict[str, Any]]],
+        removes: list[tuple[str, str]],
+    ):
+        self.revision = revision
+        self.puts = puts
+        self.removes = removes
+
+    def apply(self, state: FleetState) -> bool:
+        """Apply to a state that is exactly one revision behind."""
+        if state.revision != self.revision - 1:
+            return False
+        for table, data in self.puts:
+            _put(state, table, data)
+        for table, name in self.removes:
+            getattr(state, table).pop(name, None)
+        state.revision = self.revision
+        return True
+
+    def to_bytes(self) -> bytes:
+        """Return the JSON encoding."""
+        fields = {"revision": self.revision, "puts": self.puts, "removes": self.removes}
+        return json.dumps(fields, separators=(",", ":")).encode()
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "Delta":
+        """Decode what to_bytes returned."""
+        fields = json.loads(data)
+        puts = [(table, item) for table, item in fields["puts"]]
+        removes = [(table, name) for table, name in fields["removes"]]
+        return cls(fields["revision"], puts, removes)
+
+
+_TABLES: dict[str, type[Entity]] = {
+    "profiles": Profile,
+    "routes": Route,
+    "accounts": Account,
+    "keys": Key,
+    "targets": Target,
+    "slots": Slot,
+}
+
+
+def _put(state: FleetState, table: str, data: dict[str, Any]) -> None:
+    item: Any = _TABLES[table](**data)
+    if table == "slots":
+        state.slots[item.service, item.number] = item
+    else:
+        getattr(state, table)[item.id if table == "keys" else item.name] = item
+
+
+def split_key(text: str) -> tuple[str, str] | None:
+    """Return (id, secret) of a key's text, None if it has another form."""
+    parts = text.split("_")
+    if len(parts) != 3 or parts[0] != "tfk" or not parts[1] or not parts[2]:
+        return None
+    return parts[1], parts[2]
+
+
+def new_key_text() -> str:
+    """Return a new random key."""
+    return f"tfk_{secrets.token_hex(6)}_{secrets.token_hex(20)}"
+
+
+def key_digest(fleet_secret: bytes, secret: str) -> str:
+    """Return the keyed hash under which a key's secret is stored (hex)."""
+    return hmac.new(fleet_secret, secret.encode(), hashlib.sha256).hexdigest()
+
+
+def slot_of(account: str, idempotency_key: str) -> int:
+    """Return the slot number of an idempotency key of a client account."""
+    digest = hashlib.blake2b(
+        f"{account}\0{idempotency_key}".encode(), digest_size=8
+    ).digest()
+    return int.from_bytes(digest, "big") % SLOTS_PER_SERVICE
