--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,6 +6,9 @@
 from typing import Any
 
 import hypothesis
+from returns import result
+
+from toucanfold import config, exceptions, link, messages, watch
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=60, print_blob=True
@@ -23,3 +26,85 @@
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class FakeReplica:
+    """Single-member stand-in of replica.Replica, which commits at once."""
+
+    def __init__(self, fleet, name="c1"):
+        self.name = name
+        self.leader: str | None = name
+        self.is_leader = True
+        self.term = 1
+        self.commit_index = 0
+        self.failure: exceptions.ToucanfoldError | None = None
+        self._store = fleet
+
+    async def propose(self, data):
+        if self.failure is not None:
+            return result.Failure(self.failure)
+        self.commit_index += 1
+        return result.Success(
+            (self.commit_index, self._store.apply(self.commit_index, data))
+        )
+
+    async def confirm_read(self):
+        return result.Success(self.commit_index)
+
+    def on_message(self, sender, message):
+        pass
+
+    async def change_members(self, change):
+        return result.Success(self.commit_index)
+
+    async def transfer_leadership(self):
+        pass
+
+    def status(self):
+        return {"name": self.name, "leader": self.leader, "term": self.term}
+
+
+SECRET = b"fleet secret of the tests"
+OPERATOR = ("op", "an operator's secret")
+
+
+def control_settings(folder, name="c1", members=None):
+    """Return settings of a control instance with free ports."""
+    address = members[name] if members else free_address()
+    (folder / "admin").write_text(":".join(OPERATOR) + "\n")
+    (folder / "secret").write_bytes(SECRET)
+    file = folder / f"{name}.ini"
+    listed = members or {name: address}
+    lines = {
+        "fleet": "f",
+        "name": name,
+        "region": "r1",
+        "data_centre": "d1",
+        "secret_file": folder / "secret",
+        "listen": address,
+        "admin_listen": free_address(),
+        "admin_file": folder / "admin",
+        "data_folder": folder / f"data-{name}",
+        "members": ", ".join(f"{key}={value}" for key, value in listed.items()),
+    }
+    file.write_text(
+        "[control]\n" + "".join(f"{key} = {value}\n" for key, value in lines.items())
+    )
+    return config.read(str(file), "control").unwrap()
+
+
+def make_watch(name, addresses, holder=None, service="s"):
+    """Return a daemon's watch that announces a target of the same name."""
+    incarnation = watch.new_incarnation()
+    identity = link.Identity("f", SECRET, "daemon", name, incarnation)
+    announcement = messages.Announcement(
+        name, incarnation, service, "r1", "d1", "127.0.0.1:1"
+    )
+    return watch.Watch(identity, addresses, announcement, holder)
+
+
+async def eventually(condition, timeout_s=5.0):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,181 @@
+import asyncio
+import base64
+
+import helpers
+
+from toucanfold import adminapi, adminclient, control
+
+
+class Fleet:
+    """One control instance in this process, and calls of its operators' API."""
+
+    def __init__(self, folder):
+        self.settings = helpers.control_settings(folder)
+        self.address = self.settings.get("control", "listen")
+        self.admin = self.settings.get("control", "admin_listen")
+        credentials = adminapi.read_credentials(str(folder / "admin")).unwrap()
+        self.control = control.Control(
+            self.settings,
+            helpers.SECRET,
+            credentials,
+            lambda fleet, send: helpers.FakeReplica(fleet),
+        )
+
+    async def fetch(self, method, path, fields=None, credential=None):
+        credential = credential or ":".join(helpers.OPERATOR)
+        return await asyncio.to_thread(
+            adminclient.fetch, self.admin, method, path, fields, credential
+        )
+
+    async def change(self, method, path, operation, **fields):
+        return await self.fetch(method, path, {"operation": operation, **fields})
+
+    async def put(self, table, operation, expected, **item):
+        path = f"/v1/{table}/{item['name']}"
+        return await self.change(
+            "PUT", path, operation, expected_revision=expected, item=item
+        )
+
+
+def scenario(tmp_path, test, timeout_s=20):
+    async def body():
+        fleet = Fleet(tmp_path)
+        await fleet.control.start()
+        try:
+            await test(fleet)
+        finally:
+            await fleet.control.abort()
+
+    helpers.run(body(), timeout_s)
+
+
+def test_change_reaches_the_daemon_and_is_in_force(tmp_path):
+    async def test(fleet):
+        watch = helpers.make_watch("t1", [fleet.address])
+        watch.start()
+        loop = asyncio.get_running_loop()
+        await helpers.eventually(lambda: watch.is_fresh(loop.time()))
+        await helpers.eventually(lambda: "t1" in watch.state.targets)
+        status, value = await fleet.put("profiles", "operation-1", 0, name="p")
+        assert (status, value["accepted"]) == (200, True)
+        path = f"/v1/revisions/{value['revision']}?wait_ms=5000"
+        status, value = await fleet.fetch("GET", path)
+        assert (status, value["in_force"], value["laggards"]) == (200, True, [])
+        assert "p" in watch.state.profiles
+        await watch.drain()
+        assert watch.state.targets["t1"].state == "draining"
+        await watch.leave()
+        assert fleet.control.store.state.targets["t1"].state == "left"
+
+    scenario(tmp_path, test)
+
+
+def test_laggard_is_named_until_its_freshness_ended(tmp_path):
+    """Guards against "in force" while a daemon still uses the old configuration."""
+
+    async def test(fleet):
+        watch = helpers.make_watch("t1", [fleet.address])
+        watch.start()
+        await helpers.eventually(lambda: "t1" in watch.state.targets)
+        await watch.stop()
+        _, value = await fleet.put("profiles", "operation-1", 0, name="p")
+        path = f"/v1/revisions/{value['revision']}"
+        _, value = await fleet.fetch("GET", path)
+        assert (value["accepted"], value["in_force"]) == (True, False)
+        assert [item["name"] for item in value["laggards"]] == ["t1"]
+        _, value = await fleet.fetch("GET", f"{path}?wait_ms=5000")
+        assert value["in_force"]
+        _, value = await fleet.fetch("GET", "/v1/revisions/99")
+        assert not value["accepted"]
+
+    scenario(tmp_path, test)
+
+
+def test_requests_without_a_credential_are_refused(tmp_path):
+    async def test(fleet):
+        for credential in ("op:wrong", "other:an operator's secret", "op"):
+            status, value = await fleet.fetch("GET", "/v1/keys", credential=credential)
+            assert (status, value["error"]["kind"]) == (401, "credential_refused")
+        assert (await fleet.fetch("GET", "/v1/nothing"))[0] == 404
+        assert (await fleet.fetch("POST", "/v1/profiles"))[0] == 405
+
+    scenario(tmp_path, test)
+
+
+def test_credentials_refuse_malformed_headers():
+    credentials = adminapi.Credentials({"op": "a secret of 16 bytes"})
+    good = base64.b64encode(b"op:a secret of 16 bytes").decode()
+    assert credentials.operator(f"Basic {good}") == "op"
+    for header in ("", "Basic", "Basic !!", f"Bearer {good}", f"Basic {good[:-4]}"):
+        assert credentials.operator(header) is None
+
+
+def test_operators_race_and_resend(tmp_path):
+    """Guards against a lost update, and against a resend that is applied twice."""
+
+    async def test(fleet):
+        await fleet.put("accounts", "operation-1", 0, name="a", rate=5.0, burst=5.0)
+        changes = [
+            fleet.put("accounts", f"operation-r{rate}", 1, name="a", rate=rate, burst=1)
+            for rate in (10.0, 20.0)
+        ]
+        answers = await asyncio.gather(*changes)
+        assert sorted(status for status, _ in answers) == [200, 409]
+        loser = next(value for status, value in answers if status == 409)
+        assert loser["error"]["kind"] == "conflict"
+        assert loser["error"]["present_revision"] == 2
+        again = [
+            await fleet.put(
+                "accounts", f"operation-r{rate}", 1, name="a", rate=rate, burst=1
+            )
+            for rate in (10.0, 20.0)
+        ]
+        assert again == answers
+        assert fleet.control.store.revision == 2
+        status, value = await fleet.put(
+            "accounts", "operation-1", 0, name="a", rate=6.0, burst=5.0
+        )
+        assert (status, value["error"]["kind"]) == (409, "operation_reused")
+
+    scenario(tmp_path, test)
+
+
+def test_key_is_shown_to_resends_with_the_seed_only(tmp_path):
+    """Guards against a key lost with its answer, and against stored key texts."""
+
+    async def test(fleet):
+        await fleet.put("accounts", "operation-1", 0, name="a", rate=5.0, burst=5.0)
+        issue = {"account": "a", "seed": "5" * 32}
+        status, first = await fleet.change("POST", "/v1/keys", "operation-2", **issue)
+        assert status == 200
+        assert fleet.control.store.state.account_of(first["key"], helpers.SECRET)
+        _, again = await fleet.change("POST", "/v1/keys", "operation-2", **issue)
+        assert again == first
+        _, other = await fleet.change("POST", "/v1/keys", "operation-2", account="a")
+        assert "key" not in other
+        _, second = await fleet.change("POST", "/v1/keys", "operation-3", account="a")
+        _, listed = await fleet.fetch("GET", "/v1/keys?account=a")
+        assert len(listed["keys"]) == 2
+        assert first["key"].encode() not in fleet.control.store.snapshot()
+        path = f"/v1/keys/{first['key_id']}"
+        await fleet.change("DELETE", path, "operation-4")
+        state = fleet.control.store.state
+        assert state.account_of(first["key"], helpers.SECRET) is None
+        assert state.account_of(second["key"], helpers.SECRET).name == "a"
+
+    scenario(tmp_path, test)
+
+
+def test_broken_references_are_refused_whole(tmp_path):
+    async def test(fleet):
+        status, value = await fleet.put(
+            "routes", "operation-1", 0, name="r", service="s", profile="none"
+        )
+        assert (status, value["error"]["kind"]) == (422, "invalid")
+        assert fleet.control.store.revision == 0
+        status, _ = await fleet.put("profiles", "operation-2", 0, name="p", speed=1)
+        assert status == 422
+        status, _ = await fleet.change("PUT", "/v1/profiles/p", "operation-3", item=3)
+        assert status == 400
+
+    scenario(tmp_path, test)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,207 @@
+import hypothesis
+import pytest
+from hypothesis import stateful, strategies
+
+from toucanfold import commands, model, store
+
+NAMES = strategies.sampled_from(["a", "b"])
+OPERATIONS = strategies.integers(0, 12).map("operation-{}".format)
+REVISIONS = strategies.integers(0, 12)
+
+
+def apply(fleet, command):
+    return fleet.apply(fleet.index + 1, commands.encode(command))
+
+
+def profile(name, attempts=1):
+    return model.Profile(name, attempts=attempts).to_json()
+
+
+def route(name, used):
+    return model.Route(name, "s", used, path_prefix=f"/{name}").to_json()
+
+
+def target(name="t", incarnation=1, state="up", service="s"):
+    fields = (name, incarnation, service, "r", "d", "127.0.0.1:1", state)
+    return commands.AnnounceTarget(target=model.Target(*fields).to_json())
+
+
+class Naive:
+    """Dicts of (revision, item), and of outcomes by operation id."""
+
+    def __init__(self):
+        self.revision = 0
+        self.tables = {"profiles": {}, "routes": {}}
+        self.first = {}
+
+    def expected(self, command):
+        """Return the present revision and whether the command is accepted."""
+        table = self.tables[command.TABLE]
+        is_put = isinstance(command, commands.Put)
+        name = command.item["name"] if is_put else command.name
+        present = table.get(name, (0, None))[0]
+        if present != command.expected_revision or (not is_put and not present):
+            return name, "conflict"
+        if isinstance(command, commands.PutRoute):
+            known = command.item["profile"] in self.tables["profiles"]
+            return name, "" if known else "invalid"
+        if not is_put and command.TABLE == "profiles":
+            routes = self.tables["routes"].values()
+            if any(item["profile"] == name for _, item in routes):
+                return name, "invalid"
+        return name, ""
+
+    def apply(self, command):
+        known = self.first.get(command.operation)
+        if known is not None:
+            content = (type(command), *fields_of(command))
+            return known[1] if known[0] == content else "operation_reused"
+        name, kind = self.expected(command)
+        if not kind:
+            self.revision += 1
+            table = self.tables[command.TABLE]
+            if isinstance(command, commands.Put):
+                table[name] = (self.revision, command.item)
+            else:
+                del table[name]
+        answer = (kind, self.revision)
+        self.first[command.operation] = ((type(command), *fields_of(command)), answer)
+        return answer
+
+
+def fields_of(command):
+    last = command.item if isinstance(command, commands.Put) else command.name
+    return command.expected_revision, repr(last)
+
+
+class StoreMachine(stateful.RuleBasedStateMachine):
+    """Compares the store with dicts while replicas restore and watchers follow."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = store.Store()
+        self.naive = Naive()
+        self.follower = model.FleetState()
+
+    def both(self, command):
+        outcome = apply(self.fleet, command)
+        expected = self.naive.apply(command)
+        kind = outcome.get("kind", "")
+        if expected == "operation_reused":
+            assert kind == expected
+        else:
+            assert (kind, outcome["revision"]) == expected
+
+    @stateful.rule(
+        operation=OPERATIONS, name=NAMES, revision=REVISIONS, attempts=REVISIONS
+    )
+    def put_profile(self, operation, name, revision, attempts):
+        item = profile(name, attempts % 3)
+        self.both(commands.PutProfile(operation, 0, revision, item))
+
+    @stateful.rule(operation=OPERATIONS, name=NAMES, revision=REVISIONS, used=NAMES)
+    def put_route(self, operation, name, revision, used):
+        self.both(commands.PutRoute(operation, 0, revision, route(name, used)))
+
+    @stateful.rule(
+        operation=OPERATIONS,
+        name=NAMES,
+        revision=REVISIONS,
+        profiles=strategies.booleans(),
+    )
+    def delete(self, operation, name, revision, profiles):
+        cls = commands.DeleteProfile if profiles else commands.DeleteRoute
+        self.both(cls(operation, 0, revision, name))
+
+    @stateful.rule()
+    def restore(self):
+        """A replica that starts from a snapshot goes on exactly as the others."""
+        restored = store.Store()
+        restored.restore(self.fleet.snapshot())
+        assert restored.snapshot() == self.fleet.snapshot()
+        self.fleet = restored
+
+    @stateful.rule()
+    def follow(self):
+        deltas = self.fleet.deltas_since(self.follower.revision, 300)
+        if deltas is None:
+            self.follower = model.FleetState.from_json(self.fleet.state.to_json())
+        for data in deltas or ():
+            assert model.Delta.from_bytes(data).apply(self.follower)
+        if self.follower.revision == self.fleet.revision:
+            assert self.follower.to_json() == self.fleet.state.to_json()
+
+    @stateful.invariant()
+    def same_state(self):
+        assert self.fleet.revision == self.naive.revision
+        for table, known in self.naive.tables.items():
+            items = getattr(self.fleet.state, table)
+            assert {
+                name: (item.revision, {**item.to_json(), "revision": 0})
+                for name, item in items.items()
+            } == known
+
+
+TestStore = StoreMachine.TestCase
+TestStore.settings = hypothesis.settings(max_examples=60, stateful_step_count=30)
+
+
+def test_operations_are_kept_for_a_day(monkeypatch):
+    """Guards against a resend that is applied again since its outcome was dropped."""
+    monkeypatch.setattr(store, "KEPT_OPERATIONS", 2)
+    fleet = store.Store()
+    for number in range(4):
+        apply(fleet, commands.PutProfile(f"operation-{number}", 0, 0, profile("a")))
+    assert fleet.find_operation("operation-0") is not None
+    late = commands.PutProfile("operation-4", 25 * 3600, 0, profile("b"))
+    apply(fleet, late)
+    assert fleet.find_operation("operation-0") is None
+    assert fleet.find_operation("operation-4")["ok"]
+
+
+def test_undecodable_command_changes_nothing():
+    fleet = store.Store()
+    assert not fleet.apply(1, b'{"kind":"Later"}')["ok"]
+    assert not fleet.apply(2, b"[]")["ok"]
+    assert (fleet.revision, fleet.index) == (0, 2)
+
+
+def test_older_incarnation_is_refused():
+    """Guards against a stopped daemon's late announcement that hides its successor."""
+    fleet = store.Store()
+    assert apply(fleet, target(incarnation=2))["ok"]
+    assert apply(fleet, target(incarnation=1))["kind"] == "conflict"
+    assert apply(fleet, target(incarnation=3))["revision"] == 2
+    ended = commands.ConfirmEnded(name="t", incarnation=3)
+    assert apply(fleet, ended)["ok"]
+    assert apply(fleet, target(incarnation=3))["kind"] == "conflict"
+    # A host whose clock was set back can announce itself after the confirmation.
+    assert apply(fleet, target(incarnation=1))["ok"]
+
+
+def test_operators_drain_holds_against_announcements():
+    fleet = store.Store()
+    apply(fleet, target())
+    drain = commands.SetTargetState(name="t", incarnation=1, state="draining")
+    assert apply(fleet, drain)["revision"] == 2
+    assert apply(fleet, target())["revision"] == 2
+    assert fleet.state.targets["t"].state == "draining"
+
+
+def test_lost_target_comes_back_with_its_announcement():
+    fleet = store.Store()
+    apply(fleet, target())
+    lost = commands.SetTargetState(name="t", incarnation=1, state="lost")
+    apply(fleet, lost)
+    apply(fleet, target())
+    assert fleet.state.targets["t"].state == "up"
+
+
+@pytest.mark.parametrize("epoch", [1, 2])
+def test_slots_of_an_old_plan_are_refused_whole(epoch):
+    """Guards against a former leader's plan that brings back an old owner."""
+    fleet = store.Store()
+    apply(fleet, commands.AssignSlots(slots=[model.Slot("s", 0, 2, "t", 1).to_json()]))
+    plan = [model.Slot("s", 1, 1).to_json(), model.Slot("s", 0, epoch).to_json()]
+    assert apply(fleet, commands.AssignSlots(slots=plan))["kind"] == "conflict"
+    assert list(fleet.state.slots) == [("s", 0)]
--- /dev/null
+++ b/toucanfold/adminapi.py
@@ -0,0 +1,401 @@
+"""Operators' HTTP/JSON API, answered by any control instance."""
+
+import asyncio
+import base64
+import binascii
+import hashlib
+import hmac
+import pathlib
+import re
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns import result
+
+from toucanfold import (
+    cluster,
+    commands,
+    exceptions,
+    httpapi,
+    metrics,
+    model,
+    store,
+)
+
+REQUEST_LIMIT_S = 5.0
+READ_LIMIT_S = 1.0
+MAX_WAIT_S = 60.0
+WAIT_STEP_S = 0.1
+MIN_SECRET_LENGTH = 16
+SEED_PATTERN = re.compile(r"[A-Za-z0-9._-]{32,128}")
+
+PUTS: dict[str, type[commands.Put]] = {
+    "profiles": commands.PutProfile,
+    "routes": commands.PutRoute,
+    "accounts": commands.PutAccount,
+}
+DELETES: dict[str, type[commands.Delete]] = {
+    "profiles": commands.DeleteProfile,
+    "routes": commands.DeleteRoute,
+    "accounts": commands.DeleteAccount,
+}
+STATUSES = {"conflict": 409, "operation_reused": 409, "invalid": 422}
+
+Response = httpapi.Response
+Request = httpapi.Request
+Endpoint = Callable[..., Awaitable[Response]]
+
+
+class Credentials:
+    """Operators' names and secrets, kept as digests of equal length."""
+
+    __slots__ = ("_digests",)
+
+    def __init__(self, pairs: dict[str, str]):
+        self._digests = {
+            name: hashlib.sha256(f"{name}:{secret}".encode()).digest()
+            for name, secret in pairs.items()
+        }
+
+    def operator(self, header: str) -> str | None:
+        """Return the operator of an Authorization header (Basic), None if wrong."""
+        scheme, _, encoded = header.partition(" ")
+        if scheme.lower() != "basic":
+            return None
+        try:
+            given = base64.b64decode(encoded.strip(), validate=True)
+        except (binascii.Error, ValueError):
+            return None
+        digest = hashlib.sha256(given).digest()
+        found = None
+        # All entries are compared, so the time does not tell which one is close.
+        for name, known in self._digests.items():
+            if hmac.compare_digest(digest, known):
+                found = name
+        return found
+
+
+def read_credentials(
+    path: str,
+) -> result.Result[Credentials, exceptions.SettingsError]:
+    """Read the admin file: a line ``operator:secret`` for each operator."""
+
+    def failure(message: str, remedy: str) -> result.Failure:
+        return result.Failure(
+            exceptions.SettingsError(path, "control", "admin_file", message, remedy)
+        )
+
+    try:
+        lines = pathlib.Path(path).read_text("utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        return failure(str(error), "create the file with operator:secret lines")
+    pairs = {}
+    for number, line in enumerate(lines, 1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        name, separator, secret = line.strip().partition(":")
+        if not separator or not name or len(secret) < MIN_SECRET_LENGTH:
+            return failure(
+                f"line {number} is not operator:secret",
+                f"use a secret of at least {MIN_SECRET_LENGTH} characters",
+            )
+        pairs[name] = secret
+    if not pairs:
+        return failure("no operator is listed", "add a line operator:secret")
+    return result.Success(Credentials(pairs))
+
+
+class AdminApi:
+    """Checks credentials, turns requests into commands and answers reads."""
+
+    def __init__(
+        self,
+        fleet: store.Store,
+        members: cluster.Cluster,
+        credentials: Credentials,
+        fleet_secret: bytes,
+        measured: metrics.Metrics,
+        dump: Callable[[], dict[str, Any]],
+    ):
+        self._store = fleet
+        self._cluster = members
+        self._credentials = credentials
+        self._fleet_secret = fleet_secret
+        self._metrics = measured
+        self._dump = dump
+        self._endpoints: list[tuple[str, re.Pattern[str], Endpoint]] = [
+            (method, re.compile(pattern), endpoint)
+            for method, pattern, endpoint in (
+                ("GET", r"/v1/(profiles|routes|accounts)", self._list),
+                ("GET", r"/v1/(profiles|routes|accounts)/([^/]+)", self._get),
+                ("PUT", r"/v1/(profiles|routes|accounts)/([^/]+)", self._put),
+                ("DELETE", r"/v1/(profiles|routes|accounts)/([^/]+)", self._delete),
+                ("GET", r"/v1/keys", self._list_keys),
+                ("POST", r"/v1/keys", self._issue_key),
+                ("DELETE", r"/v1/keys/([^/]+)", self._withdraw_key),
+                ("GET", r"/v1/(targets|slots)", self._list),
+                ("POST", r"/v1/targets/([^/]+)/state", self._set_target_state),
+                ("POST", r"/v1/targets/([^/]+)/ended", self._confirm_ended),
+                ("GET", r"/v1/members", self._list_members),
+                ("POST", r"/v1/members", self._change_members),
+                ("GET", r"/v1/revisions/([0-9]+)", self._wait),
+                ("GET", r"/v1/status", self._status),
+                ("GET", r"/v1/histograms", self._histograms),
+                ("GET", r"/debug", self._debug),
+            )
+        ]
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request; HttpError if it does not fit."""
+        operator = self._credentials.operator(request.headers.get("authorization", ""))
+        if operator is None:
+            response = httpapi.error_response(
+                401,
+                "credential_refused",
+                "no valid operator credential",
+                "send a credential of the admin file (HTTP Basic)",
+            )
+            response.headers.append(("WWW-Authenticate", 'Basic realm="toucanfold"'))
+            return response
+        allowed = []
+        for method, pattern, endpoint in self._endpoints:
+            match = pattern.fullmatch(request.path)
+            if match is not None and method == request.method:
+                return await self._timed(endpoint, request, match)
+            if match is not None:
+                allowed.append(method)
+        if allowed:
+            message = f"{request.method} is not possible here"
+            remedy = f"use {', '.join(allowed)}"
+            return httpapi.error_response(405, "bad_method", message, remedy)
+        message = f"no endpoint {request.path!r}"
+        return httpapi.error_response(404, "no_endpoint", message, "see admin-api.md")
+
+    async def _timed(
+        self, endpoint: Endpoint, request: Request, match: re.Match[str]
+    ) -> Response:
+        started_at = time.monotonic()
+        response = await endpoint(request, *match.groups())
+        seconds = time.monotonic() - started_at
+        self._metrics.observe(f"admin_{request.method.lower()}", "-", "-", seconds)
+        self._metrics.count(f"admin_status_{response.status}")
+        return response
+
+    async def _submit(self, command: commands.Command) -> Response:
+        checked = commands.check(command)
+        if isinstance(checked, result.Failure):
+            return _error(checked.failure())
+        text = commands.encode(checked.unwrap()).decode()
+        answered = await self._cluster.request(
+            "command", {"command": text}, REQUEST_LIMIT_S
+        )
+        if isinstance(answered, result.Failure):
+            return _error(answered.failure())
+        outcome = answered.unwrap()["outcome"]
+        if outcome["ok"]:
+            fields = {key: value for key, value in outcome.items() if key != "ok"}
+            return Response(200, {"accepted": True, **fields})
+        fields = {key: value for key, value in outcome.items() if key != "ok"}
+        return Response(STATUSES[outcome["kind"]], {"error": fields})
+
+    async def _read(self) -> bool:
+        """Wait until this instance has all changes accepted before the request."""
+        answered = await self._cluster.request("read", {}, READ_LIMIT_S)
+        if isinstance(answered, result.Failure):
+            return False
+        return await self._cluster.caught_up(answered.unwrap()["revision"])
+
+    async def _list(self, request: Request, table: str) -> Response:
+        confirmed = await self._read()
+        items = [item.to_json() for item in getattr(self._store.state, table).values()]
+        for name, value in request.query.items():
+            items = [item for item in items if str(item.get(name)) == value]
+        return self._read_response(confirmed, {table: items})
+
+    async def _get(self, request: Request, table: str, name: str) -> Response:
+        confirmed = await self._read()
+        item = getattr(self._store.state, table).get(name)
+        if item is None:
+            message = f"{table[:-1]} {name!r} does not exist"
+            remedy = f"list the {table}"
+            return httpapi.error_response(404, "not_found", message, remedy)
+        return self._read_response(confirmed, {"item": item.to_json()})
+
+    async def _put(self, request: Request, table: str, name: str) -> Response:
+        fields = request.json()
+        item = _field(fields, "item", dict)
+        if item.setdefault("name", name) != name:
+            raise _bad_request(f"the item's name is not {name!r}")
+        return await self._submit(
+            PUTS[table](
+                operation=_operation(fields),
+                expected_revision=_field(fields, "expected_revision", int),
+                item=item,
+            )
+        )
+
+    async def _delete(self, request: Request, table: str, name: str) -> Response:
+        fields = request.json()
+        return await self._submit(
+            DELETES[table](
+                operation=_operation(fields),
+                expected_revision=_field(fields, "expected_revision", int),
+                name=name,
+            )
+        )
+
+    async def _list_keys(self, request: Request) -> Response:
+        confirmed = await self._read()
+        account = request.query.get("account")
+        keys = [
+            {"id": key.id, "account": key.account, "revision": key.revision}
+            for key in self._store.state.keys.values()
+            if account in (None, key.account)
+        ]
+        return self._read_response(confirmed, {"keys": keys})
+
+    async def _issue_key(self, request: Request) -> Response:
+        fields = request.json()
+        seed = fields.get("seed")
+        if seed is None:
+            text = model.new_key_text()
+        elif isinstance(seed, str) and SEED_PATTERN.fullmatch(seed):
+            text = derive_key(self._fleet_secret, seed)
+        else:
+            raise _bad_request("seed must be 32 to 128 letters, digits or . _ -")
+        _, key_id, secret = text.split("_")
+        response = await self._submit(
+            commands.IssueKey(
+                operation=_operation(fields),
+                account=_field(fields, "account", str),
+                id=key_id,
+                digest=model.key_digest(self._fleet_secret, secret),
+            )
+        )
+        # A resend without the seed of the first send gets no key text: the text of
+        # the first key is not kept anywhere.
+        if response.status == 200 and response.value["key_id"] == key_id:
+            response.value["key"] = text
+        return response
+
+    async def _withdraw_key(self, request: Request, key_id: str) -> Response:
+        operation = _operation(request.json())
+        return await self._submit(commands.WithdrawKey(operation=operation, id=key_id))
+
+    async def _set_target_state(self, request: Request, name: str) -> Response:
+        fields = request.json()
+        return await self._submit(
+            commands.SetTargetState(
+                operation=_operation(fields),
+                name=name,
+                incarnation=_field(fields, "incarnation", int),
+                state=_field(fields, "state", str),
+            )
+        )
+
+    async def _confirm_ended(self, request: Request, name: str) -> Response:
+        fields = request.json()
+        return await self._submit(
+            commands.ConfirmEnded(
+                operation=_operation(fields),
+                name=name,
+                incarnation=_field(fields, "incarnation", int),
+            )
+        )
+
+    async def _list_members(self, request: Request) -> Response:
+        return Response(200, self._dump()["replica"])
+
+    async def _change_members(self, request: Request) -> Response:
+        answered = await self._cluster.request(
+            "members", request.json(), REQUEST_LIMIT_S
+        )
+        if isinstance(answered, result.Failure):
+            return _error(answered.failure())
+        return Response(200, {"accepted": True, **answered.unwrap()})
+
+    async def _wait(self, request: Request, text: str) -> Response:
+        try:
+            limit_s = min(MAX_WAIT_S, float(request.query.get("wait_ms", "0")) / 1000)
+        except ValueError as error:
+            raise _bad_request("wait_ms must be a number") from error
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s
+        while True:
+            answered = await self._cluster.request(
+                "in_force", {"revision": int(text)}, REQUEST_LIMIT_S
+            )
+            if isinstance(answered, result.Failure):
+                return _error(answered.failure())
+            value = answered.unwrap()
+            if value["in_force"] or loop.time() + WAIT_STEP_S > end:
+                return Response(200, value)
+            await asyncio.sleep(WAIT_STEP_S)
+
+    async def _status(self, request: Request) -> Response:
+        confirmed = await self._read()
+        dump = self._dump()
+        state = self._store.state
+        fields = {
+            "name": dump["name"],
+            "replica": dump["replica"],
+            "watchers": len(dump["watchers"]),
+            "counts": {
+                table: len(getattr(state, table))
+                for table in ("profiles", "routes", "accounts", "keys", "targets")
+            },
+        }
+        return self._read_response(confirmed, fields)
+
+    async def _histograms(self, request: Request) -> Response:
+        return Response(200, self._metrics.dump())
+
+    async def _debug(self, request: Request) -> Response:
+        return Response(200, self._dump())
+
+    def _read_response(self, confirmed: bool, fields: dict[str, Any]) -> Response:
+        """Add the revision, and whether a leader confirmed that it is the latest."""
+        head = {"revision": self._store.revision, "confirmed": confirmed}
+        return Response(200, {**head, **fields})
+
+
+def derive_key(fleet_secret: bytes, seed: str) -> str:
+    """Return the key text of an operator's random seed.
+
+    A resend with the same seed shows the same key, although neither the seed nor
+    the key's secret is stored.
+    """
+    key_id = hmac.new(fleet_secret, f"key id {seed}".encode(), hashlib.sha256)
+    secret = hmac.new(fleet_secret, f"key secret {seed}".encode(), hashlib.sha256)
+    return f"tfk_{key_id.hexdigest()[:12]}_{secret.hexdigest()[:40]}"
+
+
+def _bad_request(message: str) -> exceptions.HttpError:
+    return exceptions.HttpError(400, "bad_request", message, "see admin-api.md")
+
+
+def _field(fields: dict[str, Any], name: str, kind: type) -> Any:
+    value = fields.get(name)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise _bad_request(f"field {name!r} of type {kind.__name__} is needed")
+    return value
+
+
+def _operation(fields: dict[str, Any]) -> str:
+    operation = _field(fields, "operation", str)
+    if not operation:
+        raise _bad_request("operation must not be empty")
+    return operation
+
+
+def _error(error: exceptions.ToucanfoldError) -> Response:
+    if isinstance(error, exceptions.NotLeaderError):
+        status, kind = 503, "no_leader"
+    elif isinstance(error, exceptions.DiskFullError):
+        status, kind = 507, "disk_full"
+    elif isinstance(error, exceptions.ValidationError):
+        status, kind = 422, "invalid"
+    else:
+        status, kind = 500, "internal"
+    return httpapi.error_response(status, kind, error.message, error.remedy)
--- /dev/null
+++ b/toucanfold/adminclient.py
@@ -0,0 +1,127 @@
+"""Blocking client of the operators' API, which resends safely."""
+
+import base64
+import json
+import secrets
+import socket
+import time
+from typing import Any
+
+import h11
+from returns import result
+
+from toucanfold import exceptions, link
+
+READ_BYTES = 65536
+TIMEOUT_S = 10.0
+ATTEMPTS = 6
+PAUSE_S = 0.3
+# Answers after which the same operation may be sent again.
+RETRIED_STATUSES = (502, 503, 504)
+
+Answer = result.Result[dict[str, Any], exceptions.ToucanfoldError]
+
+
+def new_operation() -> str:
+    """Return a random operation id."""
+    return secrets.token_hex(12)
+
+
+def fetch(
+    address: str,
+    method: str,
+    path: str,
+    fields: dict[str, Any] | None = None,
+    credential: str = "",
+    timeout_s: float = TIMEOUT_S,
+) -> tuple[int, Any]:
+    """Send one request; return status and JSON value, raise OSError without one."""
+    body = b"" if fields is None else json.dumps(fields).encode()
+    headers = [("Host", address), ("Content-Length", str(len(body)))]
+    if credential:
+        encoded = base64.b64encode(credential.encode()).decode()
+        headers.append(("Authorization", f"Basic {encoded}"))
+    connection = h11.Connection(h11.CLIENT)
+    with socket.create_connection(link.split_address(address), timeout_s) as opened:
+        request = h11.Request(method=method, target=path, headers=headers)
+        for event in (request, h11.Data(data=body), h11.EndOfMessage()):
+            opened.sendall(connection.send(event) or b"")
+        return _receive(connection, opened)
+
+
+def _receive(connection: h11.Connection, opened: socket.socket) -> tuple[int, Any]:
+    status, body = 0, bytearray()
+    try:
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(opened.recv(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return status, json.loads(body)
+            else:
+                raise OSError("the answer ended early")
+    except (h11.ProtocolError, ValueError) as error:
+        raise OSError(f"the answer is not valid: {error}") from error
+
+
+class Client:
+    """Sends operations to the first instance that answers.
+
+    A change keeps its operation id over all attempts, so it is applied once even
+    if an answer is lost.
+    """
+
+    def __init__(self, addresses: list[str], credential: str, pause_s: float = PAUSE_S):
+        self._addresses = addresses
+        self._credential = credential
+        self._pause_s = pause_s
+
+    def read(self, path: str) -> Answer:
+        """Get a resource."""
+        return self._send("GET", path, None)
+
+    def change(self, method: str, path: str, fields: dict[str, Any]) -> Answer:
+        """Send a change, with a new operation id unless the fields hold one."""
+        fields.setdefault("operation", new_operation())
+        return self._send(method, path, fields)
+
+    def _send(self, method: str, path: str, fields: dict[str, Any] | None) -> Answer:
+        problem: exceptions.ToucanfoldError | None = None
+        for attempt in range(ATTEMPTS):
+            address = self._addresses[attempt % len(self._addresses)]
+            if attempt >= len(self._addresses):
+                time.sleep(self._pause_s)
+            try:
+                status, value = fetch(address, method, path, fields, self._credential)
+            except OSError as error:
+                problem = exceptions.LinkError(
+                    f"no answer from {address}: {error}", _resend_remedy(fields)
+                )
+                continue
+            if status == 200:
+                return result.Success(value)
+            problem = _error_of(status, value)
+            if status not in RETRIED_STATUSES:
+                return result.Failure(problem)
+        assert problem is not None
+        return result.Failure(problem)
+
+
+def _resend_remedy(fields: dict[str, Any] | None) -> str:
+    if fields is None:
+        return "check the address"
+    return f"send it again with --operation={fields['operation']}"
+
+
+def _error_of(status: int, value: Any) -> exceptions.AdminError:
+    error = value.get("error", {}) if isinstance(value, dict) else {}
+    return exceptions.AdminError(
+        status,
+        error.get("kind", "unknown"),
+        error.get("message", f"status {status}"),
+        error.get("remedy", "see the log of the control instance"),
+    )
--- /dev/null
+++ b/toucanfold/control.py
@@ -0,0 +1,212 @@
+"""Composition root of a control instance and the ``toucanfold control`` command."""
+
+import asyncio
+import importlib
+import signal
+from collections.abc import Callable
+from typing import Any
+
+from absl import flags, logging
+from returns import result
+
+from toucanfold import (
+    adminapi,
+    cluster,
+    cmdline,
+    config,
+    exceptions,
+    httpapi,
+    leadership,
+    link,
+    logs,
+    messages,
+    metrics,
+    store,
+    watch,
+    watchers,
+)
+
+FLAGS = flags.FlagValues()
+flags.DEFINE_string("settings", "", "Settings file.", flag_values=FLAGS)
+flags.DEFINE_string("log_level", "info", "Least level to log.", flag_values=FLAGS)
+TEXT = "Runs a control instance until SIGTERM."
+
+Send = Callable[[str, messages.Raft], bool]
+ReplicaFactory = Callable[[store.Store, Send], Any]
+
+
+class Control:
+    """One control instance: consensus, watchers and the operators' API."""
+
+    def __init__(
+        self,
+        settings: config.Settings,
+        secret: bytes,
+        credentials: adminapi.Credentials,
+        replica_factory: ReplicaFactory,
+    ):
+        self._settings = settings
+        self._identity = link.Identity(
+            fleet=settings.get("control", "fleet"),
+            secret=secret,
+            role="control",
+            name=settings.get("control", "name"),
+            incarnation=watch.new_incarnation(),
+            region=settings.get("control", "region"),
+            data_centre=settings.get("control", "data_centre"),
+        )
+        self.store = store.Store()
+        self.cluster = cluster.Cluster(self._identity, self.store)
+        self.replica = replica_factory(self.store, self.cluster.send)
+        self.leadership = leadership.Leadership(
+            self.replica, self.store, _make_grantor(), _make_planner()
+        )
+        self.cluster.attach(self.replica, self.leadership)
+        self.watchers = watchers.Watchers(self.store, self.cluster)
+        self.metrics = metrics.Metrics(
+            settings.get("metrics", "statsd"), settings.get("metrics", "prefix")
+        )
+        self._api = adminapi.AdminApi(
+            self.store, self.cluster, credentials, secret, self.metrics, self.dump
+        )
+        self._http = httpapi.Server(self._api.handle)
+        self._server: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and join the other members; OSError if an address is taken."""
+        settings = self._settings
+        self._server = await link.listen(
+            settings.get("control", "listen"), self._identity, self
+        )
+        await self._http.start(settings.get("control", "admin_listen"))
+        self.cluster.set_members(settings.get("control", "members"))
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self.leadership.run()),
+            loop.create_task(self._report()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop as planned: hand over the lead, finish open requests, close."""
+        logging.info("stopping")
+        if self.replica.is_leader:
+            await self.replica.transfer_leadership()
+        await self._http.stop()
+        if self._server is not None:
+            self._server.close()
+        await self.watchers.stop()
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Close everything without handing anything over."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+        await self._http.stop(0)
+        await self.watchers.stop()
+        await self.cluster.stop()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state dump; it holds no secrets."""
+        now = asyncio.get_running_loop().time()
+        return {
+            "name": self._identity.name,
+            "role": "control",
+            "replica": self.replica.status(),
+            "linked_members": self.cluster.connected,
+            "revision": self.store.revision,
+            "watchers": self.watchers.dump(),
+            "leadership": self.leadership.dump(now),
+            "metrics": self.metrics.dump(),
+        }
+
+    def on_open(self, opened: link.Link) -> None:
+        """Give a new link to the part that handles its role."""
+        owner = self._owner_of(opened)
+        if owner is None:
+            opened.close("links of this role are not accepted here")
+        else:
+            owner.on_open(opened)
+
+    def on_message(self, source: link.Link, message: messages.Message) -> None:
+        """Give a message to the part that handles its sender's role."""
+        owner = self._owner_of(source)
+        if owner is not None:
+            owner.on_message(source, message)
+
+    def on_close(self, closed: link.Link, reason: str) -> None:
+        """Tell the part that handles the link's role."""
+        owner = self._owner_of(closed)
+        if owner is not None:
+            owner.on_close(closed, reason)
+
+    def _owner_of(self, opened: link.Link) -> link.LinkOwner | None:
+        role = opened.peer.role if opened.peer else ""
+        owners: dict[str, link.LinkOwner] = {
+            "control": self.cluster,
+            "daemon": self.watchers,
+        }
+        return owners.get(role)
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.get("metrics", "interval"))
+            self.metrics.gauge("watchers", len(self.watchers))
+            self.metrics.gauge("revision", self.store.revision)
+            self.metrics.gauge("is_leader", int(self.replica.is_leader))
+            self.metrics.report()
+
+
+def _optional(module: str) -> Any:
+    try:
+        return importlib.import_module(f"toucanfold.{module}")
+    except ModuleNotFoundError:
+        return None
+
+
+def _make_grantor() -> leadership.Grantor | None:
+    found = _optional("leases")
+    return found.Grantor() if found else None
+
+
+def _make_planner() -> leadership.Planner | None:
+    found = _optional("slots")
+    return found.plan if found else None
+
+
+async def _serve(settings: config.Settings, factory: ReplicaFactory) -> None:
+    secret = _value(config.read_secret(settings))
+    path = settings.get("control", "admin_file")
+    credentials = _value(adminapi.read_credentials(path))
+    control = Control(settings, secret, credentials, factory)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    try:
+        await control.start()
+        await stopping.wait()
+        await control.stop()
+    except OSError as error:
+        raise exceptions.LinkError(
+            f"cannot listen: {error}", "stop the other process or change the address"
+        ) from error
+
+
+def _value(read: result.Result[Any, exceptions.ToucanfoldError]) -> Any:
+    if isinstance(read, result.Failure):
+        raise read.failure()
+    return read.unwrap()
+
+
+def main(arguments: list[str]) -> int:
+    """Run the instance until it is told to stop."""
+    cmdline.parse(FLAGS, "control", arguments, TEXT)
+    if not FLAGS.settings:
+        return cmdline.fail("no settings file is given", "use --settings=FILE")
+    settings = _value(config.read(FLAGS.settings, "control"))
+    logs.set_up(settings.get("control", "name"), FLAGS.log_level)
+    return cmdline.fail("this build has no consensus module", "update toucanfold")
--- /dev/null
+++ b/toucanfold/leadership.py
@@ -0,0 +1,340 @@
+"""What a control instance does while it leads: pings, grants, directory, slots."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from absl import logging
+from returns import result
+
+from toucanfold import commands, exceptions, liveness, messages, model, store
+
+TICK_S = 0.2
+# A daemon that has not confirmed a revision by then accepts no callers' requests.
+IN_FORCE_S = 3.0
+KEPT_REVISIONS = 5_000
+# Keeps an entry of the log well below the largest frame (1 MiB).
+SLOTS_PER_COMMAND = 512
+
+Payload = dict[str, Any]
+Reply = result.Result[Payload, exceptions.ToucanfoldError]
+
+
+class Replica(Protocol):
+    """What the control plane needs of replica.Replica."""
+
+    name: str
+
+    @property
+    def leader(self) -> str | None:
+        """Name of the leader as far as known."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this instance leads."""
+
+    @property
+    def term(self) -> int:
+        """Present term."""
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the last committed entry."""
+
+    async def propose(
+        self, data: bytes
+    ) -> result.Result[tuple[int, Any], exceptions.ToucanfoldError]:
+        """Commit and apply an entry."""
+
+    async def confirm_read(self) -> result.Result[int, exceptions.ToucanfoldError]:
+        """Return the applied index of a confirmed lead."""
+
+    def on_message(self, sender: str, message: messages.Raft) -> None:
+        """Handle a message of another member."""
+
+    async def change_members(
+        self, change: Any
+    ) -> result.Result[int, exceptions.ToucanfoldError]:
+        """Add or remove one member."""
+
+    async def transfer_leadership(self) -> None:
+        """Hand the lead to another member."""
+
+    def status(self) -> dict[str, Any]:
+        """Return what a state dump shows."""
+
+
+class Grantor(Protocol):
+    """What the leader needs of leases.Grantor."""
+
+    def on_lead(self, now: float, raft_term: int, state: model.FleetState) -> None:
+        """Start a lead."""
+
+    def on_state(self, now: float, state: model.FleetState) -> None:
+        """Take a new fleet state."""
+
+    def on_ping(
+        self,
+        now: float,
+        daemon: str,
+        incarnation: int,
+        demands: list[messages.Demand],
+        shares: list[messages.Share],
+    ) -> list[messages.Share]:
+        """Renew a daemon's shares and return its grants."""
+
+    def on_ended(self, now: float, daemon: str, incarnation: int) -> None:
+        """Take back the shares of an incarnation that has ended."""
+
+
+Planner = Callable[[float, model.FleetState], list[model.Slot]]
+
+
+class Leadership:
+    """Handles requests that only a confirmed leader may answer."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        fleet: store.Store,
+        grantor: Grantor | None = None,
+        planner: Planner | None = None,
+    ):
+        self._replica = replica
+        self._store = fleet
+        self._grantor = grantor
+        self._planner = planner
+        self._liveness = liveness.Liveness()
+        self._led_term = -1
+        self._applied_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._proposing: set[str] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._present: dict[str, int] = {}
+        self._planned_revision = -1
+        self._handlers: dict[str, Callable[[Payload], Awaitable[Reply]]] = {
+            "command": self._on_command,
+            "pings": self._on_pings,
+            "read": self._on_read,
+            "in_force": self._on_in_force,
+            "members": self._on_members,
+        }
+        fleet.listeners.append(self._on_state)
+
+    async def handle(self, kind: str, payload: Payload) -> Reply:
+        """Answer one request; NotLeaderError if this instance does not lead."""
+        if not self._replica.is_leader:
+            return _not_leader(self._replica.leader)
+        handler = self._handlers.get(kind)
+        if handler is None:
+            return result.Failure(
+                exceptions.ValidationError(
+                    f"unknown request kind {kind!r}",
+                    "run the same version on all control instances",
+                )
+            )
+        self._check_lead()
+        return await handler(payload)
+
+    async def run(self) -> None:
+        """Keep the directory and the slot plan while this instance leads."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            try:
+                self._check_lead()
+                if self._replica.is_leader:
+                    self._mark_lost()
+                    self._plan_slots()
+            except Exception:
+                logging.exception("a leader's check failed")
+
+    def dump(self, now: float) -> Payload:
+        """Return what a state dump shows."""
+        targets = [
+            {
+                "name": target.name,
+                "state": target.state,
+                "applied_revision": self._liveness.applied_revision(target),
+                "silence_s": round(self._liveness.silence_s(now, target), 3),
+            }
+            for target in self._store.state.targets.values()
+        ]
+        return {"led_term": self._led_term, "targets": targets}
+
+    async def _on_command(self, payload: Payload) -> Reply:
+        decoded = commands.decode(payload["command"].encode())
+        if isinstance(decoded, result.Failure):
+            return decoded
+        command = decoded.unwrap()
+        command.at = time.time()
+        proposed = await self._replica.propose(commands.encode(command))
+        return proposed.map(lambda pair: {"outcome": pair[1], "index": pair[0]})
+
+    async def _on_read(self, payload: Payload) -> Reply:
+        confirmed = await self._replica.confirm_read()
+        return confirmed.map(lambda _: {"revision": self._store.revision})
+
+    async def _on_members(self, payload: Payload) -> Reply:
+        changed = await self._replica.change_members(payload)
+        return changed.map(lambda index: {"index": index})
+
+    async def _on_in_force(self, payload: Payload) -> Reply:
+        confirmed = await self._replica.confirm_read()
+        if isinstance(confirmed, result.Failure):
+            return confirmed
+        now = asyncio.get_running_loop().time()
+        return result.Success(self._in_force(now, payload["revision"]))
+
+    def _in_force(self, now: float, revision: int) -> Payload:
+        accepted = revision <= self._store.revision
+        state = self._store.state
+        laggards = self._liveness.laggards(state, revision)
+        applied_at = self._applied_at.get(revision, float("-inf"))
+        expired = now - applied_at >= IN_FORCE_S
+        return {
+            "revision": revision,
+            "accepted": accepted,
+            "in_force": accepted and (not laggards or expired),
+            "laggards": [
+                {
+                    "name": name,
+                    "applied_revision": self._liveness.applied_revision(
+                        state.targets[name]
+                    ),
+                    "silence_s": round(
+                        self._liveness.silence_s(now, state.targets[name]), 3
+                    ),
+                }
+                for name in laggards
+            ],
+        }
+
+    async def _on_pings(self, payload: Payload) -> Reply:
+        now = asyncio.get_running_loop().time()
+        grants: list[list[Any]] = []
+        for ping in payload["pings"]:
+            self._liveness.on_ping(
+                now, ping["daemon"], ping["incarnation"], ping["applied"]
+            )
+            if ping.get("announcement"):
+                self._announce(ping["announcement"])
+            shares = self._grant(now, ping)
+            grants.append([dataclasses.astuple(share) for share in shares])
+        term = self._replica.term
+        # Grants go out only if the lead is confirmed after they were made.
+        confirmed = await self._replica.confirm_read()
+        if isinstance(confirmed, result.Failure):
+            return confirmed
+        if self._replica.term != term:
+            grants = [[] for _ in grants]
+        return result.Success(
+            {"revision": self._store.revision, "term": term, "grants": grants}
+        )
+
+    def _grant(self, now: float, ping: Payload) -> list[messages.Share]:
+        if self._grantor is None:
+            return []
+        return self._grantor.on_ping(
+            now,
+            ping["daemon"],
+            ping["incarnation"],
+            [messages.Demand(*fields) for fields in ping.get("demands", ())],
+            [messages.Share(*fields) for fields in ping.get("shares", ())],
+        )
+
+    def _announce(self, target: Payload) -> None:
+        command = commands.AnnounceTarget(target=target)
+        planned = store.plan(self._store.state, command)
+        if isinstance(planned, result.Failure) or planned.unwrap() == store.NOTHING:
+            return
+        self._propose(f"announce {target['name']}", command)
+
+    def _mark_lost(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for target in self._liveness.lost(now, self._store.state):
+            logging.warning("target %s is lost: no ping", target.name)
+            command = commands.SetTargetState(
+                name=target.name, incarnation=target.incarnation, state="lost"
+            )
+            self._propose(f"lost {target.name}", command)
+
+    def _plan_slots(self) -> None:
+        if self._planner is None or self._planned_revision == self._store.revision:
+            return
+        if "slots" in self._proposing:
+            return
+        now = asyncio.get_running_loop().time()
+        revision = self._store.revision
+        slots = self._planner(now, self._store.state)
+        if not slots:
+            self._planned_revision = revision
+            return
+        items = [slot.to_json() for slot in slots[:SLOTS_PER_COMMAND]]
+        self._propose("slots", commands.AssignSlots(slots=items))
+
+    def _propose(self, label: str, command: commands.Command) -> None:
+        """Propose in the background, once at a time per label."""
+        if label in self._proposing:
+            return
+        self._proposing.add(label)
+        command.at = time.time()
+        task = asyncio.get_running_loop().create_task(self._finish(label, command))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _finish(self, label: str, command: commands.Command) -> None:
+        try:
+            proposed = await self._replica.propose(commands.encode(command))
+        finally:
+            self._proposing.discard(label)
+        if isinstance(proposed, result.Failure):
+            logging.warning("%s was not accepted: %s", label, proposed.failure())
+        elif not proposed.unwrap()[1]["ok"]:
+            logging.warning("%s refused: %s", label, proposed.unwrap()[1]["message"])
+
+    def _check_lead(self) -> None:
+        if not self._replica.is_leader:
+            self._led_term = -1
+            return
+        if self._led_term == self._replica.term:
+            return
+        self._led_term = self._replica.term
+        self._planned_revision = -1
+        now = asyncio.get_running_loop().time()
+        logging.info("leading control in term %d", self._led_term)
+        self._liveness.on_lead(now)
+        if self._grantor is not None:
+            self._grantor.on_lead(now, self._led_term, self._store.state)
+
+    def _on_state(self) -> None:
+        # The loop's clock, which is not at hand when a snapshot is restored at start.
+        now = time.monotonic()
+        self._applied_at[self._store.revision] = now
+        while len(self._applied_at) > KEPT_REVISIONS:
+            self._applied_at.popitem(last=False)
+        if self._grantor is None or self._led_term == -1:
+            return
+        present = {
+            target.name: target.incarnation
+            for target in self._store.state.targets.values()
+            if target.state != "left"
+        }
+        for name, incarnation in self._present.items():
+            if present.get(name) != incarnation:
+                self._grantor.on_ended(now, name, incarnation)
+        self._present = present
+        self._grantor.on_state(now, self._store.state)
+
+
+def _not_leader(leader: str | None) -> result.Failure:
+    return result.Failure(
+        exceptions.NotLeaderError(
+            "this control instance does not lead",
+            "send the same operation again",
+            leader,
+        )
+    )
--- /dev/null
+++ b/toucanfold/store.py
@@ -0,0 +1,385 @@
+"""Replicated state machine of the fleet: applies commands and keeps their outcomes.
+
+Everything here depends only on the log, so all control instances agree.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import json
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from returns import result
+
+from toucanfold import commands, exceptions, model
+
+# An operator who resends after a lost answer does so within a day.
+KEPT_OPERATIONS = 10_000
+OPERATION_RETENTION_S = 24 * 3600
+# Watchers that are further behind get a snapshot instead.
+KEPT_DELTAS = 2_000
+
+Puts = list[tuple[str, dict[str, Any]]]
+Removes = list[tuple[str, str]]
+Change = tuple[Puts, Removes]
+Error = exceptions.ConflictError | exceptions.ValidationError
+Planned = result.Result[Change, Error]
+
+NOTHING: Change = ([], [])
+
+
+@dataclasses.dataclass(slots=True)
+class Operation:
+    """The first outcome of an operation id, and the digest of its command."""
+
+    at: float
+    digest: str
+    outcome: dict[str, Any]
+
+
+class Store:
+    """Fleet state with revisions, operation outcomes and deltas for watchers.
+
+    An outcome is a JSON object: ``ok`` and ``revision``, and for a refused command
+    also ``kind``, ``message`` and ``remedy``.
+    """
+
+    __slots__ = (
+        "_cached_snapshot",
+        "_deltas",
+        "_latest_at",
+        "_operations",
+        "index",
+        "listeners",
+        "state",
+    )
+
+    def __init__(self) -> None:
+        self.state = model.FleetState()
+        self.index = 0
+        self.listeners: list[Callable[[], None]] = []
+        self._operations: collections.OrderedDict[str, Operation] = (
+            collections.OrderedDict()
+        )
+        self._deltas: collections.deque[tuple[int, bytes]] = collections.deque(
+            maxlen=KEPT_DELTAS
+        )
+        self._latest_at = 0.0
+        self._cached_snapshot: tuple[int, bytes] = (-1, b"")
+
+    @property
+    def revision(self) -> int:
+        """Number of commands that changed the state."""
+        return self.state.revision
+
+    def apply(self, index: int, data: bytes) -> dict[str, Any]:
+        """Apply one committed command and return its outcome."""
+        self.index = index
+        decoded = commands.decode(data)
+        if isinstance(decoded, result.Failure):
+            return self._refusal(decoded.failure())
+        command = decoded.unwrap()
+        self._latest_at = max(self._latest_at, command.at)
+        if not command.operation:
+            return self._execute(command)
+        digest = command_digest(command)
+        known = self._operations.get(command.operation)
+        if known is not None:
+            return known.outcome if known.digest == digest else self._reused()
+        outcome = self._execute(command)
+        self._keep(command.operation, Operation(self._latest_at, digest, outcome))
+        return outcome
+
+    def find_operation(self, operation: str) -> dict[str, Any] | None:
+        """Return the outcome of an operation id, None if it is not known."""
+        known = self._operations.get(operation)
+        return known.outcome if known else None
+
+    def deltas_since(self, revision: int, max_bytes: int) -> list[bytes] | None:
+        """Return deltas that follow a revision, None if they are not kept.
+
+        The list stops after max_bytes but holds at least one delta if any exists.
+        """
+        behind = self.revision - revision
+        if behind == 0:
+            return []
+        if behind < 0 or behind > len(self._deltas):
+            return None
+        found: list[bytes] = []
+        size = 0
+        for position in range(len(self._deltas) - behind, len(self._deltas)):
+            size += len(self._deltas[position][1])
+            if found and size > max_bytes:
+                break
+            found.append(self._deltas[position][1])
+        return found
+
+    def watch_snapshot(self) -> bytes:
+        """Return the compressed state for watchers, made once per revision."""
+        if self._cached_snapshot[0] != self.revision:
+            text = json.dumps(self.state.to_json(), separators=(",", ":"))
+            self._cached_snapshot = (self.revision, zlib.compress(text.encode(), 1))
+        return self._cached_snapshot[1]
+
+    def snapshot(self) -> bytes:
+        """Return everything that apply depends on."""
+        operations = [
+            [name, item.at, item.digest, item.outcome]
+            for name, item in self._operations.items()
+        ]
+        fields = {
+            "index": self.index,
+            "latest_at": self._latest_at,
+            "state": self.state.to_json(),
+            "operations": operations,
+        }
+        return json.dumps(fields, separators=(",", ":")).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Replace everything by a snapshot; deltas start anew."""
+        fields = json.loads(data)
+        self.index = fields["index"]
+        self._latest_at = fields["latest_at"]
+        self.state = model.FleetState.from_json(fields["state"])
+        self._operations.clear()
+        for name, at, digest, outcome in fields["operations"]:
+            self._operations[name] = Operation(at, digest, outcome)
+        self._deltas.clear()
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self.listeners:
+            listener()
+
+    def _keep(self, name: str, operation: Operation) -> None:
+        self._operations[name] = operation
+        oldest_kept = self._latest_at - OPERATION_RETENTION_S
+        while len(self._operations) > KEPT_OPERATIONS:
+            first = next(iter(self._operations))
+            if self._operations[first].at >= oldest_kept:
+                return
+            del self._operations[first]
+
+    def _execute(self, command: commands.Command) -> dict[str, Any]:
+        planned = plan(self.state, command)
+        if isinstance(planned, result.Failure):
+            return self._refusal(planned.failure())
+        puts, removes = planned.unwrap()
+        if puts or removes:
+            self._change(puts, removes)
+        outcome: dict[str, Any] = {"ok": True, "revision": self.revision}
+        if isinstance(command, commands.IssueKey):
+            outcome["key_id"] = command.id
+        return outcome
+
+    def _change(self, puts: Puts, removes: Removes) -> None:
+        revision = self.revision + 1
+        stamped = [(table, {**item, "revision": revision}) for table, item in puts]
+        delta = model.Delta(revision, stamped, removes)
+        delta.apply(self.state)
+        self._deltas.append((revision, delta.to_bytes()))
+        self._notify()
+
+    def _refusal(self, error: exceptions.ToucanfoldError) -> dict[str, Any]:
+        outcome: dict[str, Any] = {
+            "ok": False,
+            "kind": "invalid",
+            "message": error.message,
+            "remedy": error.remedy,
+            "revision": self.revision,
+        }
+        if isinstance(error, exceptions.ConflictError):
+            outcome["kind"] = "conflict"
+            outcome["present_revision"] = error.present_revision
+        return outcome
+
+    def _reused(self) -> dict[str, Any]:
+        message = "the operation id was used for another command"
+        error = exceptions.ValidationError(message, "use a new operation id")
+        return {**self._refusal(error), "kind": "operation_reused"}
+
+
+def command_digest(command: commands.Command) -> str:
+    """Return the digest by which a resend is told from another command.
+
+    The time is left out since it differs between sends, and so is what control
+    itself made up for a new key.
+    """
+    fields = json.loads(commands.encode(command))
+    for name in ("operation", "at"):
+        del fields[name]
+    if isinstance(command, commands.IssueKey):
+        del fields["id"], fields["digest"]
+    text = json.dumps(fields, sort_keys=True)
+    return hashlib.blake2b(text.encode(), digest_size=12).hexdigest()
+
+
+def plan(state: model.FleetState, command: commands.Command) -> Planned:
+    """Return the change that a command makes, or why it is refused as a whole."""
+    for kind, planner in _PLANNERS:
+        if isinstance(command, kind):
+            return planner(state, command)
+    raise AssertionError(f"no planner for {command!r}")
+
+
+def _conflict(message: str, present: int) -> result.Failure:
+    remedy = "read the object again and repeat the change with its revision"
+    return result.Failure(exceptions.ConflictError(message, remedy, present))
+
+
+def _invalid(message: str, remedy: str) -> result.Failure:
+    return result.Failure(exceptions.ValidationError(message, remedy))
+
+
+def _revision_problem(
+    state: model.FleetState, table: str, name: str, expected: int
+) -> result.Failure | None:
+    present = getattr(state, table).get(name)
+    revision = present.revision if present else 0
+    if revision == expected:
+        return None
+    return _conflict(
+        f"{table[:-1]} {name!r} has revision {revision}, not {expected}", revision
+    )
+
+
+def _plan_put(state: model.FleetState, command: commands.Put) -> Planned:
+    item = command.item
+    problem = _revision_problem(
+        state, command.TABLE, item["name"], command.expected_revision
+    )
+    if problem is not None:
+        return problem
+    if isinstance(command, commands.PutRoute):
+        problem = _route_problem(state, item)
+        if problem is not None:
+            return problem
+    return result.Success(([(command.TABLE, item)], []))
+
+
+def _route_problem(
+    state: model.FleetState, item: dict[str, Any]
+) -> result.Failure | None:
+    if item["profile"] not in state.profiles:
+        message = f"route {item['name']!r} names a missing profile {item['profile']!r}"
+        return _invalid(message, "put the profile first")
+    for other in state.routes.values():
+        same = (
+            other.service == item["service"]
+            and other.method == item["method"]
+            and other.path_prefix == item["path_prefix"]
+        )
+        if same and other.name != item["name"]:
+            message = f"route {other.name!r} has the same service, method and prefix"
+            return _invalid(message, "change that route or delete it first")
+    return None
+
+
+def _plan_delete(state: model.FleetState, command: commands.Delete) -> Planned:
+    table, name = command.TABLE, command.name
+    if name not in getattr(state, table):
+        return _conflict(f"{table[:-1]} {name!r} does not exist", 0)
+    problem = _revision_problem(state, table, name, command.expected_revision)
+    if problem is not None:
+        return problem
+    if table == "profiles":
+        users = [item.name for item in state.routes.values() if item.profile == name]
+        if users:
+            message = f"profile {name!r} is used by route {users[0]!r}"
+            return _invalid(message, "change or delete its routes first")
+    if table == "accounts" and any(
+        item.account == name for item in state.keys.values()
+    ):
+        message = f"account {name!r} still has keys"
+        return _invalid(message, "withdraw its keys first")
+    return result.Success(([], [(table, name)]))
+
+
+def _plan_issue(state: model.FleetState, command: commands.IssueKey) -> Planned:
+    if command.account not in state.accounts:
+        message = f"account {command.account!r} does not exist"
+        return _invalid(message, "put the account first")
+    if command.id in state.keys:
+        return _invalid(f"key {command.id!r} exists", "send another seed")
+    key = model.Key(command.id, command.account, command.digest)
+    return result.Success(([("keys", key.to_json())], []))
+
+
+def _plan_withdraw(state: model.FleetState, command: commands.WithdrawKey) -> Planned:
+    if command.id not in state.keys:
+        return _invalid(f"key {command.id!r} does not exist", "list the keys")
+    return result.Success(([], [("keys", command.id)]))
+
+
+def _plan_announce(
+    state: model.FleetState, command: commands.AnnounceTarget
+) -> Planned:
+    announced = model.Target(**command.target)
+    present = state.targets.get(announced.name)
+    if present is None or present.incarnation != announced.incarnation:
+        return _plan_successor(present, announced)
+    if present.state == "left":
+        message = f"this incarnation of target {announced.name!r} has ended"
+        return _conflict(message, present.revision)
+    # An operator's drain holds although the daemon still announces itself as up.
+    if present.state == "draining" and announced.state == "up":
+        announced.state = "draining"
+    announced.revision = present.revision
+    if announced == present:
+        return result.Success(NOTHING)
+    return result.Success(([("targets", announced.to_json())], []))
+
+
+def _plan_successor(present: model.Target | None, announced: model.Target) -> Planned:
+    if (
+        present is not None
+        and present.state != "left"
+        and announced.incarnation < present.incarnation
+    ):
+        message = f"a newer incarnation of target {announced.name!r} is known"
+        return _conflict(message, present.revision)
+    return result.Success(([("targets", announced.to_json())], []))
+
+
+def _plan_state(state: model.FleetState, command: commands.SetTargetState) -> Planned:
+    present = state.targets.get(command.name)
+    if present is None or present.incarnation != command.incarnation:
+        revision = present.revision if present else 0
+        return _conflict(f"target {command.name!r} has another incarnation", revision)
+    if present.state == command.state:
+        return result.Success(NOTHING)
+    if present.state == "left":
+        message = f"this incarnation of target {command.name!r} has ended"
+        return _conflict(message, present.revision)
+    item = {**present.to_json(), "state": command.state}
+    return result.Success(([("targets", item)], []))
+
+
+def _plan_ended(state: model.FleetState, command: commands.ConfirmEnded) -> Planned:
+    ended = commands.SetTargetState(
+        name=command.name, incarnation=command.incarnation, state="left"
+    )
+    return _plan_state(state, ended)
+
+
+def _plan_slots(state: model.FleetState, command: commands.AssignSlots) -> Planned:
+    for item in command.slots:
+        present = state.slots.get((item["service"], item["number"]))
+        if present is not None and item["epoch"] <= present.epoch:
+            message = f"slot {item['number']} of {item['service']!r} has a later epoch"
+            return _conflict(message, present.revision)
+    return result.Success(([("slots", item) for item in command.slots], []))
+
+
+_PLANNERS: tuple[tuple[type[commands.Command], Callable[[Any, Any], Planned]], ...] = (
+    (commands.Put, _plan_put),
+    (commands.Delete, _plan_delete),
+    (commands.IssueKey, _plan_issue),
+    (commands.WithdrawKey, _plan_withdraw),
+    (commands.AnnounceTarget, _plan_announce),
+    (commands.SetTargetState, _plan_state),
+    (commands.AssignSlots, _plan_slots),
+    (commands.ConfirmEnded, _plan_ended),
+)
--- /dev/null
+++ b/toucanfold/watchers.py
@@ -0,0 +1,151 @@
+"""Control's side of the watch: sessions of daemons and their batched pings."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from absl import logging
+from returns import result
+
+from toucanfold import cluster, link, messages, store
+
+# Pings that arrive within this time share one confirmation of the lead.
+BATCH_S = 0.05
+REQUEST_LIMIT_S = 0.8
+# Keeps a pong below the largest frame (1 MiB).
+MAX_DELTA_BYTES = 256 << 10
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """The link of one daemon, with its last ping."""
+
+    link: link.Link
+    name: str
+    incarnation: int
+    applied_revision: int = 0
+    pings: int = 0
+
+
+class Watchers:
+    """Answers pings of daemons with a confirmed revision, changes and grants."""
+
+    def __init__(self, fleet: store.Store, members: cluster.Cluster):
+        self._store = fleet
+        self._cluster = members
+        self._sessions: dict[link.Link, Session] = {}
+        self._pending: list[tuple[Session, messages.WatchPing]] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __len__(self) -> int:
+        return len(self._sessions)
+
+    def on_open(self, opened: link.Link) -> None:
+        """Start the session of a daemon."""
+        assert opened.peer is not None
+        peer = opened.peer
+        self._sessions[opened] = Session(opened, peer.name, peer.incarnation)
+
+    def on_message(self, source: link.Link, message: messages.Message) -> None:
+        """Queue a ping for the next batch."""
+        session = self._sessions.get(source)
+        if session is None or not isinstance(message, messages.WatchPing):
+            return
+        session.applied_revision = message.applied_revision
+        session.pings += 1
+        self._pending.append((session, message))
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(BATCH_S, self._start_batch)
+
+    def on_close(self, closed: link.Link, reason: str) -> None:
+        """End the session of a daemon."""
+        session = self._sessions.pop(closed, None)
+        if session is not None:
+            logging.info("watch of %s closed: %s", session.name, reason)
+
+    async def stop(self) -> None:
+        """Close all sessions, so that daemons move at once."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for opened in list(self._sessions):
+            opened.close("the control instance stops")
+
+    def dump(self) -> list[dict[str, Any]]:
+        """Return what a state dump shows."""
+        return [
+            {
+                "name": session.name,
+                "incarnation": session.incarnation,
+                "applied_revision": session.applied_revision,
+                "pings": session.pings,
+            }
+            for session in self._sessions.values()
+        ]
+
+    def _start_batch(self) -> None:
+        self._timer = None
+        batch, self._pending = self._pending, []
+        task = asyncio.get_running_loop().create_task(self._answer(batch))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, batch: list[tuple[Session, messages.WatchPing]]) -> None:
+        payload = {"pings": [self._pack(*pair) for pair in batch]}
+        answered = await self._cluster.request("pings", payload, REQUEST_LIMIT_S)
+        if isinstance(answered, result.Failure):
+            # Without an answer the daemons move to another instance.
+            logging.warning("pings not confirmed: %s", answered.failure())
+            return
+        reply = answered.unwrap()
+        if not await self._cluster.caught_up(reply["revision"]):
+            logging.warning("revision %d is not applied here", reply["revision"])
+            return
+        for (session, ping), grants in zip(batch, reply["grants"], strict=True):
+            session.link.send(self._pong(ping, reply["term"], grants))
+
+    def _pack(self, session: Session, ping: messages.WatchPing) -> dict[str, Any]:
+        packed: dict[str, Any] = {
+            "daemon": session.name,
+            "incarnation": session.incarnation,
+            "applied": ping.applied_revision,
+        }
+        if ping.demands:
+            packed["demands"] = [dataclasses.astuple(item) for item in ping.demands]
+        if ping.shares:
+            packed["shares"] = [dataclasses.astuple(item) for item in ping.shares]
+        announcement = ping.announcement
+        own = (announcement.name, announcement.incarnation)
+        if own == (session.name, session.incarnation) and not self._is_known(
+            announcement
+        ):
+            packed["announcement"] = dataclasses.asdict(announcement)
+        return packed
+
+    def _is_known(self, announcement: messages.Announcement) -> bool:
+        present = self._store.state.targets.get(announcement.name)
+        if present is None:
+            return False
+        fields = dataclasses.asdict(announcement)
+        return all(getattr(present, name) == fields[name] for name in fields)
+
+    def _pong(
+        self, ping: messages.WatchPing, term: int, grants: Any
+    ) -> messages.WatchPong:
+        pong = messages.WatchPong(
+            sequence=ping.sequence,
+            confirmed=True,
+            revision=self._store.revision,
+            raft_term=term,
+            shares=[messages.Share(*fields) for fields in grants],
+        )
+        deltas = self._store.deltas_since(ping.applied_revision, MAX_DELTA_BYTES)
+        if deltas is not None:
+            pong.deltas = deltas
+        elif ping.applied_revision < self._store.revision:
+            pong.snapshot = self._store.watch_snapshot()
+        return pong
