--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,7 +3,7 @@
 
 import helpers
 
-from toucanfold import adminapi, adminclient, control
+from toucanfold import adminclient, control, credentials
 
 
 class Fleet:
@@ -13,11 +13,11 @@
         self.settings = helpers.control_settings(folder)
         self.address = self.settings.get("control", "listen")
         self.admin = self.settings.get("control", "admin_listen")
-        credentials = adminapi.read_credentials(str(folder / "admin")).unwrap()
+        operators = credentials.read(str(folder / "admin")).unwrap()
         self.control = control.Control(
             self.settings,
             helpers.SECRET,
-            credentials,
+            operators,
             lambda fleet, send: helpers.FakeReplica(fleet),
         )
 
@@ -103,11 +103,11 @@
 
 
 def test_credentials_refuse_malformed_headers():
-    credentials = adminapi.Credentials({"op": "a secret of 16 bytes"})
+    known = credentials.Credentials({"op": "a secret of 16 bytes"})
     good = base64.b64encode(b"op:a secret of 16 bytes").decode()
-    assert credentials.operator(f"Basic {good}") == "op"
+    assert known.operator(f"Basic {good}") == "op"
     for header in ("", "Basic", "Basic !!", f"Bearer {good}", f"Basic {good[:-4]}"):
-        assert credentials.operator(header) is None
+        assert known.operator(header) is None
 
 
 def test_operators_race_and_resend(tmp_path):
--- /dev/null
+++ b/tests/test_watchstate.py
@@ -0,0 +1,127 @@
+import json
+import zlib
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from toucanfold import messages, model, watchstate
+
+REVISIONS = 8
+
+
+def state_at(revision):
+    state = model.FleetState()
+    for number in range(1, revision + 1):
+        delta_at(number).apply(state)
+    return state
+
+
+def delta_at(revision):
+    item = model.Account("a", float(revision), 1.0).to_json()
+    return model.Delta(revision, [("accounts", item)], [])
+
+
+def snapshot_at(revision):
+    return zlib.compress(json.dumps(state_at(revision).to_json()).encode())
+
+
+class WatchMachine(stateful.RuleBasedStateMachine):
+    """Pongs are lost, duplicated and reordered, and come from lagging instances.
+
+    Guards against a revision that falls and against freshness which outlasts 3 s
+    after the send time of a confirmed ping whose revision is applied.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.committed = 0
+        self.known = watchstate.WatchState()
+        self.pings = {}
+        self.pongs = []
+        self.highest = 0
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 0.5, 2.0, 3.1]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule()
+    def commit(self):
+        self.committed = min(REVISIONS, self.committed + 1)
+
+    @stateful.rule()
+    def ping(self):
+        sequence = self.known.on_send(self.now)
+        self.pings[sequence] = (self.now, self.known.revision, self.committed)
+
+    @stateful.rule(
+        data=strategies.data(),
+        behind=strategies.integers(0, 3),
+        cut=strategies.integers(0, 3),
+        confirmed=strategies.booleans(),
+        snapshot=strategies.booleans(),
+    )
+    @stateful.precondition(lambda self: self.pings)
+    def answer(self, data, behind, cut, confirmed, snapshot):
+        """An instance answers; only one without a confirmed lead may be behind."""
+        sequence = data.draw(strategies.sampled_from(sorted(self.pings)))
+        applied = self.pings[sequence][1]
+        revision = self.committed if confirmed else max(0, self.committed - behind)
+        pong = messages.WatchPong(sequence, confirmed, revision)
+        if snapshot:
+            pong.snapshot = snapshot_at(revision)
+        else:
+            revisions = range(applied + 1, revision + 1 - cut)
+            pong.deltas = [delta_at(number).to_bytes() for number in revisions]
+        self.pongs.append(pong)
+
+    @stateful.rule(data=strategies.data())
+    @stateful.precondition(lambda self: self.pongs)
+    def deliver(self, data):
+        pong = data.draw(strategies.sampled_from(self.pongs))
+        self.known.on_pong(self.now, pong)
+
+    @stateful.rule()
+    def move(self):
+        self.known.on_link()
+
+    @stateful.invariant()
+    def revisions_rise_and_states_are_whole(self):
+        revision = self.known.revision
+        assert revision >= self.highest
+        self.highest = revision
+        assert self.known.state.to_json() == state_at(revision).to_json()
+
+    @stateful.invariant()
+    def fresh_state_holds_what_was_committed_3_seconds_ago(self):
+        if not self.known.is_fresh(self.now):
+            return
+        assert any(
+            self.now - sent_at < watchstate.FRESH_S and self.known.revision >= committed
+            for sent_at, _, committed in self.pings.values()
+        )
+
+
+TestWatchState = WatchMachine.TestCase
+TestWatchState.settings = hypothesis.settings(max_examples=80, stateful_step_count=30)
+
+
+def test_confirmed_pong_makes_fresh_for_3_seconds_from_the_send_time():
+    known = watchstate.WatchState()
+    sequence = known.on_send(10.0)
+    pong = messages.WatchPong(sequence, True, 1, [delta_at(1).to_bytes()])
+    assert known.on_pong(11.0, pong) == 10.0
+    assert known.is_fresh(12.9)
+    assert not known.is_fresh(13.0)
+    assert known.on_pong(12.0, pong) is None
+
+
+def test_instance_behind_the_daemon_is_noticed():
+    """Guards against a cut-off instance that keeps a daemon on an old state."""
+    known = watchstate.WatchState()
+    known.on_pong(0.0, messages.WatchPong(0, True, 2, [], snapshot_at(2)))
+    sequence = known.on_send(0.0)
+    pong = messages.WatchPong(sequence, True, 1)
+    assert known.is_behind(pong)
+    assert known.on_pong(0.1, pong) is None
+    assert not known.is_fresh(0.1)
--- /dev/null
+++ b/toucanfold/admin.py
@@ -0,0 +1,228 @@
+"""Subcommand for operators: changes the fleet through the operators' API."""
+
+import json
+import pathlib
+import secrets
+import sys
+import urllib.parse
+from collections.abc import Callable
+from typing import Any
+
+from absl import flags
+from returns import result
+
+from toucanfold import adminclient, cmdline, debug
+
+FLAGS = flags.FlagValues()
+flags.DEFINE_list(
+    "address", [], "Operators' listeners, tried in this order.", flag_values=FLAGS
+)
+flags.DEFINE_string(
+    "credential_file", "", "File with operator:secret.", flag_values=FLAGS
+)
+flags.DEFINE_string(
+    "operation",
+    "",
+    "Operation id of an earlier attempt whose answer was lost.",
+    flag_values=FLAGS,
+)
+flags.DEFINE_string(
+    "seed",
+    "",
+    "Seed of an earlier attempt to issue a key whose answer was lost.",
+    flag_values=FLAGS,
+)
+flags.DEFINE_integer(
+    "expected_revision",
+    None,
+    "Revision of the object that the change is based on; read first if not given.",
+    flag_values=FLAGS,
+)
+flags.DEFINE_integer(
+    "wait_ms", 5000, "Longest wait for a change to be in force.", flag_values=FLAGS
+)
+TEXT = """Commands (ITEM is JSON text, or @FILE, or @- for standard input):
+
+  profile|route|account list
+  profile|route|account get NAME
+  profile|route|account put ITEM
+  profile|route|account delete NAME
+  key list [ACCOUNT]
+  key issue ACCOUNT            prints the key, which is not shown again
+  key withdraw ID
+  target list [SERVICE]
+  target drain|undrain NAME    stops or resumes new work
+  target ended NAME            confirms that the process has ended for good
+  member list
+  member add NAME ADDRESS
+  member remove NAME
+  status
+  histograms
+  wait REVISION                waits until the revision is in force"""
+
+TABLES = {"profile": "profiles", "route": "routes", "account": "accounts"}
+
+Answer = adminclient.Answer
+Action = Callable[[adminclient.Client, list[str]], Answer]
+
+
+class UsageError(Exception):
+    """The arguments do not form a command."""
+
+
+def _change(
+    client: adminclient.Client, method: str, path: str, fields: dict[str, Any]
+) -> Answer:
+    fields["operation"] = FLAGS.operation or adminclient.new_operation()
+    return client.change(method, path, fields)
+
+
+def _path(table: str, *names: str) -> str:
+    quoted = [urllib.parse.quote(name, safe="") for name in names]
+    return "/".join(["/v1", table, *quoted])
+
+
+def _item(text: str) -> dict[str, Any]:
+    if text == "@-":
+        text = sys.stdin.read()
+    elif text.startswith("@"):
+        text = pathlib.Path(text[1:]).read_text("utf-8")
+    try:
+        item = json.loads(text)
+    except ValueError as error:
+        raise UsageError(f"the item is not JSON: {error}") from error
+    if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+        raise UsageError("the item is not a JSON object with a name")
+    return item
+
+
+def _expected(client: adminclient.Client, table: str, name: str) -> Answer:
+    """Return the expected revision as a field, read from control if not given."""
+    if FLAGS.expected_revision is not None:
+        return result.Success({"expected_revision": FLAGS.expected_revision})
+    found = client.read(_path(table, name))
+    if isinstance(found, result.Success):
+        return found.map(lambda value: {"expected_revision": value["item"]["revision"]})
+    if getattr(found.failure(), "status", 0) == 404:
+        return result.Success({"expected_revision": 0})
+    return found
+
+
+def _objects(client: adminclient.Client, words: list[str]) -> Answer:
+    match words:
+        case [kind, "list"]:
+            return client.read(_path(TABLES[kind]))
+        case [kind, "get", name]:
+            return client.read(_path(TABLES[kind], name))
+        case [kind, "put", text]:
+            item = _item(text)
+            table, name = TABLES[kind], item["name"]
+            return _expected(client, table, name).bind(
+                lambda fields: _change(
+                    client, "PUT", _path(table, name), {**fields, "item": item}
+                )
+            )
+        case [kind, "delete", name]:
+            table = TABLES[kind]
+            return _expected(client, table, name).bind(
+                lambda fields: _change(client, "DELETE", _path(table, name), fields)
+            )
+    raise UsageError("use list, get NAME, put ITEM or delete NAME")
+
+
+def _keys(client: adminclient.Client, words: list[str]) -> Answer:
+    match words:
+        case ["key", "list"]:
+            return client.read("/v1/keys")
+        case ["key", "list", account]:
+            return client.read(f"/v1/keys?account={urllib.parse.quote(account)}")
+        case ["key", "issue", account]:
+            seed = FLAGS.seed or secrets.token_hex(24)
+            fields = {"account": account, "seed": seed}
+            return _change(client, "POST", "/v1/keys", fields)
+        case ["key", "withdraw", key_id]:
+            return _change(client, "DELETE", _path("keys", key_id), {})
+    raise UsageError("use list [ACCOUNT], issue ACCOUNT or withdraw ID")
+
+
+def _targets(client: adminclient.Client, words: list[str]) -> Answer:
+    match words:
+        case ["target", "list"]:
+            return client.read("/v1/targets")
+        case ["target", "list", service]:
+            return client.read(f"/v1/targets?service={urllib.parse.quote(service)}")
+        case ["target", ("drain" | "undrain" | "ended") as action, name]:
+            return client.read(_path("targets", name)).bind(
+                lambda value: _change_target(client, action, value["item"])
+            )
+    raise UsageError("use list [SERVICE], drain NAME, undrain NAME or ended NAME")
+
+
+def _change_target(
+    client: adminclient.Client, action: str, target: dict[str, Any]
+) -> Answer:
+    fields = {"incarnation": target["incarnation"]}
+    if action == "ended":
+        return _change(
+            client, "POST", _path("targets", target["name"], "ended"), fields
+        )
+    fields["state"] = {"drain": "draining", "undrain": "up"}[action]
+    return _change(client, "POST", _path("targets", target["name"], "state"), fields)
+
+
+def _members(client: adminclient.Client, words: list[str]) -> Answer:
+    match words:
+        case ["member", "list"]:
+            return client.read("/v1/members")
+        case ["member", "add", name, address]:
+            fields = {"action": "add", "name": name, "address": address}
+            return _change(client, "POST", "/v1/members", fields)
+        case ["member", "remove", name]:
+            fields = {"action": "remove", "name": name}
+            return _change(client, "POST", "/v1/members", fields)
+    raise UsageError("use list, add NAME ADDRESS or remove NAME")
+
+
+def _others(client: adminclient.Client, words: list[str]) -> Answer:
+    match words:
+        case ["status"]:
+            return client.read("/v1/status")
+        case ["histograms"]:
+            return client.read("/v1/histograms")
+        case ["wait", revision] if revision.isdigit():
+            return client.read(f"/v1/revisions/{revision}?wait_ms={FLAGS.wait_ms}")
+    raise UsageError("the command has other arguments")
+
+
+ACTIONS: dict[str, Action] = {
+    **dict.fromkeys(TABLES, _objects),
+    "key": _keys,
+    "target": _targets,
+    "member": _members,
+    **dict.fromkeys(("status", "histograms", "wait"), _others),
+}
+
+
+def _is_failed_wait(words: list[str], value: dict[str, Any]) -> bool:
+    return words[0] == "wait" and not value["in_force"]
+
+
+def main(arguments: list[str]) -> int:
+    """Run one command; 0 if it was accepted, 1 if not, 2 for wrong usage."""
+    words = cmdline.parse(FLAGS, "admin", arguments, TEXT)
+    if not words or words[0] not in ACTIONS:
+        return cmdline.fail("no such command", "see toucanfold admin --help")
+    if not FLAGS.address:
+        return cmdline.fail("no address is given", "use --address=HOST:PORT,...")
+    try:
+        credential = debug.read_credential(FLAGS.credential_file)
+        client = adminclient.Client(FLAGS.address, credential)
+        answered = ACTIONS[words[0]](client, words)
+    except (UsageError, OSError) as error:
+        return cmdline.fail(str(error), "see toucanfold admin --help")
+    if isinstance(answered, result.Failure):
+        print(f"toucanfold: {answered.failure()}", file=sys.stderr)
+        return 1
+    value = answered.unwrap()
+    print(json.dumps(value, indent=2))
+    return 1 if _is_failed_wait(words, value) else 0
--- a/toucanfold/adminapi.py
+++ b/toucanfold/adminapi.py
@@ -1,11 +1,8 @@
 """Operators' HTTP/JSON API, answered by any control instance."""
 
 import asyncio
-import base64
-import binascii
 import hashlib
 import hmac
-import pathlib
 import re
 import time
 from collections.abc import Awaitable, Callable
@@ -16,6 +13,7 @@
 from toucanfold import (
     cluster,
     commands,
+    credentials,
     exceptions,
     httpapi,
     metrics,
@@ -27,7 +25,6 @@
 READ_LIMIT_S = 1.0
 MAX_WAIT_S = 60.0
 WAIT_STEP_S = 0.1
-MIN_SECRET_LENGTH = 16
 SEED_PATTERN = re.compile(r"[A-Za-z0-9._-]{32,128}")
 
 PUTS: dict[str, type[commands.Put]] = {
@@ -47,65 +44,6 @@
 Endpoint = Callable[..., Awaitable[Response]]
 
 
-class Credentials:
-    """Operators' names and secrets, kept as digests of equal length."""
-
-    __slots__ = ("_digests",)
-
-    def __init__(self, pairs: dict[str, str]):
-        self._digests = {
-            name: hashlib.sha256(f"{name}:{secret}".encode()).digest()
-            for name, secret in pairs.items()
-        }
-
-    def operator(self, header: str) -> str | None:
-        """Return the operator of an Authorization header (Basic), None if wrong."""
-        scheme, _, encoded = header.partition(" ")
-        if scheme.lower() != "basic":
-            return None
-        try:
-            given = base64.b64decode(encoded.strip(), validate=True)
-        except (binascii.Error, ValueError):
-            return None
-        digest = hashlib.sha256(given).digest()
-        found = None
-        # All entries are compared, so the time does not tell which one is close.
-        for name, known in self._digests.items():
-            if hmac.compare_digest(digest, known):
-                found = name
-        return found
-
-
-def read_credentials(
-    path: str,
-) -> result.Result[Credentials, exceptions.SettingsError]:
-    """Read the admin file: a line ``operator:secret`` for each operator."""
-
-    def failure(message: str, remedy: str) -> result.Failure:
-        return result.Failure(
-            exceptions.SettingsError(path, "control", "admin_file", message, remedy)
-        )
-
-    try:
-        lines = pathlib.Path(path).read_text("utf-8").splitlines()
-    except (OSError, UnicodeDecodeError) as error:
-        return failure(str(error), "create the file with operator:secret lines")
-    pairs = {}
-    for number, line in enumerate(lines, 1):
-        if not line.strip() or line.startswith("#"):
-            continue
-        name, separator, secret = line.strip().partition(":")
-        if not separator or not name or len(secret) < MIN_SECRET_LENGTH:
-            return failure(
-                f"line {number} is not operator:secret",
-                f"use a secret of at least {MIN_SECRET_LENGTH} characters",
-            )
-        pairs[name] = secret
-    if not pairs:
-        return failure("no operator is listed", "add a line operator:secret")
-    return result.Success(Credentials(pairs))
-
-
 class AdminApi:
     """Checks credentials, turns requests into commands and answers reads."""
 
@@ -113,28 +51,27 @@
         self,
         fleet: store.Store,
         members: cluster.Cluster,
-        credentials: Credentials,
+        known: credentials.Credentials,
         fleet_secret: bytes,
         measured: metrics.Metrics,
         dump: Callable[[], dict[str, Any]],
     ):
         self._store = fleet
         self._cluster = members
-        self._credentials = credentials
+        self._credentials = known
         self._fleet_secret = fleet_secret
         self._metrics = measured
         self._dump = dump
         self._endpoints: list[tuple[str, re.Pattern[str], Endpoint]] = [
             (method, re.compile(pattern), endpoint)
             for method, pattern, endpoint in (
-                ("GET", r"/v1/(profiles|routes|accounts)", self._list),
-                ("GET", r"/v1/(profiles|routes|accounts)/([^/]+)", self._get),
+                ("GET", r"/v1/(profiles|routes|accounts|targets|slots)", self._list),
+                ("GET", r"/v1/(profiles|routes|accounts|targets)/([^/]+)", self._get),
                 ("PUT", r"/v1/(profiles|routes|accounts)/([^/]+)", self._put),
                 ("DELETE", r"/v1/(profiles|routes|accounts)/([^/]+)", self._delete),
                 ("GET", r"/v1/keys", self._list_keys),
                 ("POST", r"/v1/keys", self._issue_key),
                 ("DELETE", r"/v1/keys/([^/]+)", self._withdraw_key),
-                ("GET", r"/v1/(targets|slots)", self._list),
                 ("POST", r"/v1/targets/([^/]+)/state", self._set_target_state),
                 ("POST", r"/v1/targets/([^/]+)/ended", self._confirm_ended),
                 ("GET", r"/v1/members", self._list_members),
@@ -257,17 +194,17 @@
 
     async def _issue_key(self, request: Request) -> Response:
         fields = request.json()
-        seed = fields.get("seed")
+        operation, seed = _operation(fields), fields.get("seed")
         if seed is None:
             text = model.new_key_text()
         elif isinstance(seed, str) and SEED_PATTERN.fullmatch(seed):
-            text = derive_key(self._fleet_secret, seed)
+            text = derive_key(self._fleet_secret, operation, seed)
         else:
             raise _bad_request("seed must be 32 to 128 letters, digits or . _ -")
         _, key_id, secret = text.split("_")
         response = await self._submit(
             commands.IssueKey(
-                operation=_operation(fields),
+                operation=operation,
                 account=_field(fields, "account", str),
                 id=key_id,
                 digest=model.key_digest(self._fleet_secret, secret),
@@ -360,15 +297,17 @@
         return Response(200, {**head, **fields})
 
 
-def derive_key(fleet_secret: bytes, seed: str) -> str:
-    """Return the key text of an operator's random seed.
+def derive_key(fleet_secret: bytes, operation: str, seed: str) -> str:
+    """Return the key text of an operation and its operator's random seed.
 
     A resend with the same seed shows the same key, although neither the seed nor
-    the key's secret is stored.
+    the key's secret is stored. Another operation never brings back a withdrawn key.
     """
-    key_id = hmac.new(fleet_secret, f"key id {seed}".encode(), hashlib.sha256)
-    secret = hmac.new(fleet_secret, f"key secret {seed}".encode(), hashlib.sha256)
-    return f"tfk_{key_id.hexdigest()[:12]}_{secret.hexdigest()[:40]}"
+    parts = []
+    for part in ("id", "secret"):
+        text = f"key {part} {operation} {seed}"
+        parts.append(hmac.new(fleet_secret, text.encode(), hashlib.sha256).hexdigest())
+    return f"tfk_{parts[0][:12]}_{parts[1][:40]}"
 
 
 def _bad_request(message: str) -> exceptions.HttpError:
--- a/toucanfold/adminclient.py
+++ b/toucanfold/adminclient.py
@@ -104,7 +104,7 @@
                 continue
             if status == 200:
                 return result.Success(value)
-            problem = _error_of(status, value)
+            problem = _error_of(status, value, fields)
             if status not in RETRIED_STATUSES:
                 return result.Failure(problem)
         assert problem is not None
@@ -114,14 +114,16 @@
 def _resend_remedy(fields: dict[str, Any] | None) -> str:
     if fields is None:
         return "check the address"
-    return f"send it again with --operation={fields['operation']}"
+    remedy = f"send it again with --operation={fields['operation']}"
+    return f"{remedy} --seed={fields['seed']}" if "seed" in fields else remedy
 
 
-def _error_of(status: int, value: Any) -> exceptions.AdminError:
+def _error_of(
+    status: int, value: Any, fields: dict[str, Any] | None
+) -> exceptions.AdminError:
     error = value.get("error", {}) if isinstance(value, dict) else {}
-    return exceptions.AdminError(
-        status,
-        error.get("kind", "unknown"),
-        error.get("message", f"status {status}"),
-        error.get("remedy", "see the log of the control instance"),
-    )
+    remedy = error.get("remedy", "see the log of the control instance")
+    if status in RETRIED_STATUSES and fields is not None:
+        remedy = _resend_remedy(fields)
+    message = error.get("message", f"status {status}")
+    return exceptions.AdminError(status, error.get("kind", "unknown"), message, remedy)
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -14,6 +14,7 @@
     cluster,
     cmdline,
     config,
+    credentials,
     exceptions,
     httpapi,
     leadership,
@@ -42,7 +43,7 @@
         self,
         settings: config.Settings,
         secret: bytes,
-        credentials: adminapi.Credentials,
+        operators: credentials.Credentials,
         replica_factory: ReplicaFactory,
     ):
         self._settings = settings
@@ -67,7 +68,7 @@
             settings.get("metrics", "statsd"), settings.get("metrics", "prefix")
         )
         self._api = adminapi.AdminApi(
-            self.store, self.cluster, credentials, secret, self.metrics, self.dump
+            self.store, self.cluster, operators, secret, self.metrics, self.dump
         )
         self._http = httpapi.Server(self._api.handle)
         self._server: asyncio.Server | None = None
@@ -180,8 +181,8 @@
 async def _serve(settings: config.Settings, factory: ReplicaFactory) -> None:
     secret = _value(config.read_secret(settings))
     path = settings.get("control", "admin_file")
-    credentials = _value(adminapi.read_credentials(path))
-    control = Control(settings, secret, credentials, factory)
+    operators = _value(credentials.read(path))
+    control = Control(settings, secret, operators, factory)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/toucanfold/debug.py
@@ -0,0 +1,46 @@
+"""Subcommand that prints the state dump of a running process."""
+
+import json
+import pathlib
+
+from absl import flags
+
+from toucanfold import adminclient, cmdline
+
+FLAGS = flags.FlagValues()
+flags.DEFINE_string(
+    "address", "", "HTTP listener for state dumps (HOST:PORT).", flag_values=FLAGS
+)
+flags.DEFINE_string(
+    "credential_file",
+    "",
+    "File with operator:secret, needed by control instances.",
+    flag_values=FLAGS,
+)
+TEXT = "Prints the state of a daemon or a control instance as JSON."
+
+
+def read_credential(path: str) -> str:
+    """Return the first operator:secret line of a file, empty without a file."""
+    if not path:
+        return ""
+    lines = pathlib.Path(path).read_text("utf-8").splitlines()
+    found = [line.strip() for line in lines if line.strip() and line[0] != "#"]
+    return found[0] if found else ""
+
+
+def main(arguments: list[str]) -> int:
+    """Fetch the dump and print it; 1 if the process does not answer with one."""
+    cmdline.parse(FLAGS, "debug", arguments, TEXT)
+    if not FLAGS.address:
+        return cmdline.fail("no address is given", "use --address=HOST:PORT")
+    try:
+        credential = read_credential(FLAGS.credential_file)
+        status, value = adminclient.fetch(
+            FLAGS.address, "GET", "/debug", None, credential
+        )
+    except OSError as error:
+        cmdline.fail(f"no state dump: {error}", "check the address and the file")
+        return 1
+    print(json.dumps(value, indent=2))
+    return 0 if status == 200 else 1
