Decode messages by position

Cause: decoding built a dict of keyword arguments and tested each field's class. Change: fields are read with the reader's getter and passed by position; the positions of nested fields are computed once per class.

--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -22,6 +22,8 @@
     TAG: ClassVar[str] = ""
     # Classes of the fields that hold a message or a list of messages.
     NESTED: ClassVar[dict[str, type["Message"]]] = {}
+    # Fields that hold a list of plain values.
+    LISTS: ClassVar[tuple[str, ...]] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -257,6 +259,7 @@
 
     TAG = "watchPong"
     NESTED = {"shares": Share}
+    LISTS = ("deltas",)
     sequence: int = 0
     confirmed: bool = False
     revision: int = 0
@@ -326,15 +329,26 @@
 class _Plan:
     """Field names of one message class in Python and in the schema."""
 
-    __slots__ = ("cls", "fields", "nested", "nested_fields", "plain")
+    __slots__ = (
+        "cls",
+        "fields",
+        "list_positions",
+        "nested_fields",
+        "nested_positions",
+        "plain",
+    )
 
     def __init__(self, cls: type[Message]):
         self.cls = cls
-        self.nested = cls.NESTED
         self.fields = tuple(
             (field.name, _camel_case(field.name))
             for field in dataclasses.fields(cls)  # type: ignore[arg-type]
         )
+        positions = {name: index for index, (name, _) in enumerate(self.fields)}
+        self.nested_positions = [
+            (positions[name], nested) for name, nested in cls.NESTED.items()
+        ]
+        self.list_positions = [positions[name] for name in cls.LISTS]
         self.plain = tuple(pair for pair in self.fields if pair[0] not in cls.NESTED)
         self.nested_fields = tuple(
             pair for pair in self.fields if pair[0] in cls.NESTED
@@ -371,17 +385,20 @@
 
 
 def _from_reader(plan: _Plan, reader: Any) -> Message:
-    values = {name: getattr(reader, camel) for name, camel in plan.fields}
-    for name, cls in plan.nested.items():
-        inner = _PLANS[cls]
-        value = values[name]
-        if isinstance(value, capnp.lib.capnp._DynamicListReader):
-            values[name] = [_from_reader(inner, item) for item in value]
-        else:
-            values[name] = _from_reader(inner, value)
-    if plan.cls is WatchPong:
-        values["deltas"] = list(values["deltas"])
-    return plan.cls(**values)
+    get = reader._get
+    values = [get(camel) for _, camel in plan.fields]
+    for position, cls in plan.nested_positions:
+        values[position] = _nested(cls, values[position])
+    for position in plan.list_positions:
+        values[position] = list(values[position])
+    return plan.cls(*values)
+
+
+def _nested(cls: type[Message], value: Any) -> Any:
+    plan = _PLANS[cls]
+    if isinstance(value, capnp.lib.capnp._DynamicListReader):
+        return [_from_reader(plan, item) for item in value]
+    return _from_reader(plan, value)
 
 
 def encode(message: Message) -> bytes:
