--- /dev/null
+++ b/toucanfold/founding.py
@@ -0,0 +1,76 @@
+"""How instances without state become the first members of a fleet.
+
+Each announces itself with its random id. The one whose name sorts first collects the
+ids of all others and writes the first membership, which the others adopt. So a member
+that lost its disk never starts a second fleet: a member that has state does not
+announce itself, and an instance with a new id is not in the first membership.
+"""
+
+from toucanfold import members, messages, raftlog
+from toucanfold.rafttypes import Founding, Kind
+
+FIRST_TERM = 1
+
+
+class Founder:
+    """Collects the ids of the first members while this instance has no state."""
+
+    __slots__ = ("_addresses", "_confirmed", "_joining", "_key", "_known")
+
+    def __init__(self, key: str, plan: Founding):
+        self._key = key
+        self._addresses = dict(plan.addresses)
+        self._joining = plan.joining
+        # Keys last heard by name, and those who have named this instance's id since
+        # it started: only these are surely without state now.
+        self._known: dict[str, str] = {}
+        self._confirmed: dict[str, str] = {}
+
+    def announcements(self) -> list[messages.Raft]:
+        """Return an announcement for each other instance."""
+        own = members.name_of(self._key)
+        return [
+            messages.Raft(
+                kind=int(Kind.ANNOUNCE),
+                sender=self._key,
+                receiver=self._known.get(name, name),
+                granted=self._joining,
+            )
+            for name in sorted(self._addresses)
+            if name != own
+        ]
+
+    def on_announce(self, message: messages.Raft) -> None:
+        """Note the id of another instance without state."""
+        name = members.name_of(message.sender)
+        if name not in self._addresses or message.granted:
+            return
+        self._known[name] = message.sender
+        if message.receiver == self._key:
+            self._confirmed[name] = message.sender
+        elif self._confirmed.get(name) != message.sender:
+            self._confirmed.pop(name, None)
+
+    def first_entry(self) -> messages.Entry | None:
+        """Return the first membership once this instance may write it."""
+        own = members.name_of(self._key)
+        others = set(self._addresses) - {own}
+        if self._joining or own != min(self._addresses, default=""):
+            return None
+        if set(self._confirmed) != others:
+            return None
+        keys = [self._key, *self._confirmed.values()]
+        first = members.Membership(
+            members.Member(name, member_id, self._addresses[name])
+            for name, _, member_id in (key.partition(members.SEPARATOR) for key in keys)
+        )
+        return messages.Entry(1, FIRST_TERM, raftlog.KIND_MEMBERS, first.to_bytes())
+
+    def accepts(self, message: messages.Raft) -> bool:
+        """Whether the first membership sent by another member is this instance's."""
+        if self._joining or len(message.entries) != 1:
+            return False
+        entry = message.entries[0]
+        if entry.index != 1 or entry.kind != raftlog.KIND_MEMBERS:
+            return False
+        return self._key in members.Membership.from_bytes(entry.data)
--- /dev/null
+++ b/toucanfold/leading.py
@@ -0,0 +1,316 @@
+"""What only a leader has: progress of the others, confirmed reads, quorum contact."""
+
+import random
+
+from toucanfold import messages, raftlog
+from toucanfold.rafttypes import ELECTION_MIN_S, HEARTBEAT_S, Kind
+
+# Appends and snapshot parts stay well below messages.MAX_FRAME_BYTES.
+APPEND_BYTES = 256 * 1024
+PART_BYTES = 128 * 1024
+# Entries sent to a follower before it acknowledged the first of them.
+WINDOW_ENTRIES = 2048
+RESEND_S = 0.3
+
+
+class _Progress:
+    __slots__ = (
+        "contact_at",
+        "heartbeat_at",
+        "match",
+        "next",
+        "part_at",
+        "part_offset",
+        "probing",
+        "read_acked",
+        "sent_commit",
+        "snapshot",
+        "snapshot_bytes",
+    )
+
+    def __init__(self, next_index: int, now: float):
+        self.next = next_index
+        self.match = 0
+        self.contact_at = now
+        self.heartbeat_at = now
+        self.probing = False
+        self.read_acked = 0
+        self.sent_commit = 0
+        self.snapshot: raftlog.Snapshot | None = None
+        self.snapshot_bytes = b""
+        self.part_offset = 0
+        self.part_at = 0.0
+
+
+class PartialSnapshot:
+    """The parts of a leader's snapshot that a follower has received."""
+
+    __slots__ = ("_data", "_source")
+
+    def __init__(self) -> None:
+        self._source: tuple[str, int, int] = ("", 0, 0)
+        self._data = bytearray()
+
+    @property
+    def size(self) -> int:
+        """Bytes received so far."""
+        return len(self._data)
+
+    def add(self, message: messages.Raft) -> raftlog.Snapshot | None:
+        """Add a part; return the snapshot when it is complete and undamaged."""
+        source = (message.sender, message.term, message.last_index)
+        if source != self._source:
+            self._source = source
+            self._data.clear()
+        if message.snapshot_offset != len(self._data) or not message.snapshot:
+            return None
+        self._data += message.snapshot
+        if not message.snapshot_done:
+            return None
+        encoded = bytes(self._data)
+        self._data.clear()
+        try:
+            return raftlog.Snapshot.from_bytes(encoded)
+        except ValueError:
+            return None
+
+
+class Lead:
+    """The lead of one term."""
+
+    __slots__ = (
+        "_key",
+        "_log",
+        "_progress",
+        "_read_sent",
+        "_reads",
+        "_term",
+        "_transfer_until",
+        "noop_index",
+        "read_sequence",
+        "transfer_to",
+    )
+
+    def __init__(self, key: str, term: int, log: raftlog.RaftLog, now: float):
+        self._key = key
+        self._term = term
+        self._log = log
+        self._progress: dict[str, _Progress] = {}
+        self._reads: list[tuple[int, int]] = []
+        self._read_sent = 0
+        self._transfer_until = 0.0
+        self.read_sequence = 0
+        self.transfer_to = ""
+        self.noop_index = log.last_index + 1
+        self.update_members(now)
+
+    def update_members(self, now: float) -> None:
+        """Track exactly the other members of the latest membership."""
+        others = self._log.membership.keys - {self._key}
+        for key in set(self._progress) - others:
+            del self._progress[key]
+        for key in others - set(self._progress):
+            self._progress[key] = _Progress(self._log.last_index + 1, now)
+
+    def flush(self, now: float, commit: int) -> list[messages.Raft]:
+        """Return what is due: entries, heartbeats, commits and read rounds."""
+        wants_round = self.read_sequence > self._read_sent
+        self._read_sent = self.read_sequence
+        out: list[messages.Raft] = []
+        for key in sorted(self._progress):
+            peer = self._progress[key]
+            due = now >= peer.heartbeat_at
+            if due or wants_round:
+                # A lost append or reply is noticed at the next heartbeat.
+                peer.probing = False
+            if peer.snapshot is None and self._log.term_at(peer.next - 1) is None:
+                self._start_snapshot(peer)
+            if peer.snapshot is not None:
+                self._flush_snapshot(key, peer, now, due or wants_round, out)
+            else:
+                force = due or wants_round or peer.sent_commit < commit
+                self._flush_entries(key, peer, now, commit, force, out)
+            if due:
+                peer.heartbeat_at = now + HEARTBEAT_S
+        return out
+
+    def on_append_reply(self, now: float, message: messages.Raft) -> None:
+        """Learn a follower's progress."""
+        peer = self._progress.get(message.sender)
+        if peer is None:
+            return
+        peer.contact_at = now
+        peer.read_acked = max(peer.read_acked, message.read_sequence)
+        if peer.snapshot is not None:
+            return
+        peer.probing = False
+        hint = min(message.match_index, self._log.last_index)
+        if message.granted:
+            peer.match = max(peer.match, hint)
+            peer.next = max(peer.next, peer.match + 1)
+        else:
+            peer.next = max(peer.match, min(hint, peer.next - 1)) + 1
+
+    def on_snapshot_reply(self, now: float, message: messages.Raft) -> None:
+        """Go on with the next part, or with entries when the snapshot is stored."""
+        peer = self._progress.get(message.sender)
+        if peer is None:
+            return
+        peer.contact_at = now
+        peer.read_acked = max(peer.read_acked, message.read_sequence)
+        if message.granted:
+            peer.match = max(peer.match, min(message.match_index, self._log.last_index))
+            peer.next = max(peer.next, peer.match + 1)
+            if peer.snapshot is not None and peer.match >= peer.snapshot.index:
+                peer.snapshot, peer.snapshot_bytes = None, b""
+                peer.next = peer.match + 1
+            return
+        is_current = peer.snapshot and message.last_index == peer.snapshot.index
+        if is_current and message.snapshot_offset != peer.part_offset:
+            peer.part_offset = message.snapshot_offset
+            peer.part_at = 0.0
+
+    def committed(self, commit: int) -> int:
+        """Return the highest index of this term that a quorum has synced."""
+        membership = self._log.membership
+        known = [
+            self._log.stable if key == self._key else self._progress[key].match
+            for key in membership.voters
+        ]
+        if not known:
+            return commit
+        index = sorted(known, reverse=True)[membership.quorum - 1]
+        if index > commit and self._log.term_at(index) == self._term:
+            return index
+        return commit
+
+    def reachable(self, now: float) -> set[str]:
+        """Return this member and the members heard within an election timeout."""
+        recent = now - ELECTION_MIN_S
+        found = {
+            key for key, peer in self._progress.items() if peer.contact_at > recent
+        }
+        return found | {self._key}
+
+    def caught_up(self, now: float, commit: int) -> set[str]:
+        """Return the reachable members that hold everything committed."""
+        reachable = self.reachable(now)
+        return {
+            key
+            for key, peer in self._progress.items()
+            if key in reachable and peer.match >= commit
+        }
+
+    def request_read(self, commit: int) -> None:
+        """Ask for a confirmation that starts now."""
+        self.read_sequence += 1
+        self._reads.append((self.read_sequence, max(commit, self.noop_index)))
+
+    def take_reads(self) -> list[tuple[int, int]]:
+        """Return (sequence, index) of reads that a quorum has confirmed."""
+        voters = self._log.membership.voters
+        acked = [
+            self._read_sent if key == self._key else self._progress[key].read_acked
+            for key in voters
+        ]
+        if not self._reads or not acked:
+            return []
+        confirmed = sorted(acked, reverse=True)[self._log.membership.quorum - 1]
+        done = [read for read in self._reads if read[0] <= confirmed]
+        self._reads = self._reads[len(done) :]
+        return done
+
+    def start_transfer(self, now: float, rng: random.Random) -> bool:
+        """Choose the voter that holds most as the next leader."""
+        candidates = sorted(
+            (self._log.membership.voters & self.reachable(now)) - {self._key},
+            key=lambda key: (-self._progress[key].match, rng.random()),
+        )
+        if not candidates:
+            return False
+        self.transfer_to = candidates[0]
+        self._transfer_until = now + ELECTION_MIN_S
+        return True
+
+    def transfer_message(self, now: float) -> messages.Raft | None:
+        """Return the request to stand for election once the chosen one has it all."""
+        if not self.transfer_to:
+            return None
+        peer = self._progress.get(self.transfer_to)
+        if peer is None or now > self._transfer_until:
+            self.transfer_to = ""
+        elif peer.match == self._log.last_index and self._log.stable == peer.match:
+            return self._message(Kind.TIMEOUT_NOW, self.transfer_to)
+        return None
+
+    def progress(self, now: float) -> dict[str, dict[str, float]]:
+        """Return match index and seconds since contact of each other member."""
+        return {
+            key: {"match": peer.match, "silent_s": round(now - peer.contact_at, 3)}
+            for key, peer in sorted(self._progress.items())
+        }
+
+    def _flush_entries(
+        self,
+        key: str,
+        peer: _Progress,
+        now: float,
+        commit: int,
+        force: bool,
+        out: list[messages.Raft],
+    ) -> None:
+        while True:
+            last = min(self._log.last_index, peer.match + WINDOW_ENTRIES)
+            entries: list[messages.Entry] = []
+            if peer.next <= last and not peer.probing:
+                entries = self._log.slice(peer.next, last, APPEND_BYTES)
+            if not entries and not force:
+                return
+            force = False
+            message = self._message(Kind.APPEND, key)
+            message.last_index = peer.next - 1
+            message.last_term = self._log.term_at(peer.next - 1) or 0
+            message.commit = commit
+            message.entries = entries
+            out.append(message)
+            peer.sent_commit = commit
+            peer.next += len(entries)
+            if entries and peer.match == 0:
+                # Nothing is known of the follower's log: wait for its first reply.
+                peer.probing = True
+
+    def _start_snapshot(self, peer: _Progress) -> None:
+        peer.snapshot = self._log.snapshot
+        peer.snapshot_bytes = peer.snapshot.to_bytes()
+        peer.part_offset, peer.part_at = 0, 0.0
+
+    def _flush_snapshot(
+        self,
+        key: str,
+        peer: _Progress,
+        now: float,
+        force: bool,
+        out: list[messages.Raft],
+    ) -> None:
+        assert peer.snapshot is not None
+        message = self._message(Kind.SNAPSHOT, key)
+        message.last_index = peer.snapshot.index
+        message.last_term = peer.snapshot.term
+        message.snapshot_offset = peer.part_offset
+        if peer.part_at == 0.0 or now >= peer.part_at + RESEND_S:
+            end = peer.part_offset + PART_BYTES
+            message.snapshot = peer.snapshot_bytes[peer.part_offset : end]
+            message.snapshot_done = end >= len(peer.snapshot_bytes)
+            peer.part_at = now
+        elif not force:
+            return
+        out.append(message)
+
+    def _message(self, kind: Kind, receiver: str) -> messages.Raft:
+        return messages.Raft(
+            kind=int(kind),
+            sender=self._key,
+            receiver=receiver,
+            term=self._term,
+            read_sequence=self._read_sent,
+        )
--- /dev/null
+++ b/toucanfold/raft.py
@@ -0,0 +1,524 @@
+"""Consensus on the replicated log: elections, replication and membership."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from returns import result
+
+from toucanfold import exceptions, founding, leading, members, messages, raftlog
+from toucanfold.rafttypes import (
+    ANNOUNCE_S,
+    ELECTION_MAX_S,
+    ELECTION_MIN_S,
+    MAX_COMMAND_BYTES,
+    Founding,
+    Kind,
+    Ready,
+    Role,
+)
+
+_RESEND = "resend it with the same operation id to the leader"
+
+
+class Raft:
+    """One member's state machine; it does no I/O.
+
+    The driver calls on_tick and on_message, then take_early, take_ready and on_stored.
+    All but take_ready may be called while it stores what a Ready asks for.
+    """
+
+    __slots__ = (
+        "_announce_at",
+        "_election_at",
+        "_founder",
+        "_handlers",
+        "_heard_at",
+        "_late",
+        "_lead",
+        "_partial",
+        "_pending_snapshot",
+        "_rng",
+        "_saved_vote",
+        "_stored_vote",
+        "_votes",
+        "announced",
+        "commit_index",
+        "key",
+        "leader",
+        "log",
+        "role",
+        "term",
+        "vote",
+    )
+
+    def __init__(
+        self,
+        key: str,
+        plan: Founding,
+        vote: tuple[int, str],
+        log: raftlog.RaftLog,
+        rng: random.Random,
+        now: float,
+    ):
+        self.key = key
+        self.term, self.vote = vote
+        self.log = log
+        self.commit_index = log.snapshot.index
+        self.leader = ""
+        self.role = Role.FOLLOWER if log.membership else Role.BLANK
+        # Ids of instances that wait to be added, by name.
+        self.announced: dict[str, str] = {}
+        self._founder = founding.Founder(key, plan)
+        self._rng = rng
+        self._saved_vote = self._stored_vote = vote
+        self._votes: set[str] = set()
+        self._lead: leading.Lead | None = None
+        self._heard_at = float("-inf")
+        self._election_at = 0.0
+        self._start_timer(now)
+        self._announce_at = now
+        self._partial = leading.PartialSnapshot()
+        self._pending_snapshot: raftlog.Snapshot | None = None
+        self._late: list[messages.Raft] = []
+        self._handlers: dict[int, Callable[[float, messages.Raft], None]] = {
+            Kind.PRE_VOTE: self._on_pre_vote,
+            Kind.PRE_VOTE_REPLY: self._on_pre_vote_reply,
+            Kind.VOTE: self._on_vote,
+            Kind.VOTE_REPLY: self._on_vote_reply,
+            Kind.APPEND: self._on_append,
+            Kind.APPEND_REPLY: self._on_append_reply,
+            Kind.SNAPSHOT: self._on_snapshot,
+            Kind.SNAPSHOT_REPLY: self._on_snapshot_reply,
+            Kind.TIMEOUT_NOW: self._on_timeout_now,
+        }
+
+    @property
+    def membership(self) -> members.Membership:
+        """The latest membership in the log, committed or not."""
+        return self.log.membership
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads its term."""
+        return self.role is Role.LEADER
+
+    def on_tick(self, now: float) -> None:
+        """Do what is due at this time."""
+        if self.role is Role.BLANK:
+            self._tick_blank(now)
+        elif self._lead is not None:
+            self._tick_leader(now, self._lead)
+        elif now >= self._election_at:
+            self.leader = ""
+            if self.key in self.membership.voters:
+                self._start_pre_vote(now)
+
+    def on_message(self, now: float, message: messages.Raft) -> None:
+        """Handle a message; those for another id of this name are dropped."""
+        if message.kind == Kind.ANNOUNCE:
+            self._on_announce(now, message)
+        elif message.receiver != self.key or message.kind not in self._handlers:
+            self._on_founded(now, message)
+        elif self._may_handle(message) and self._check_term(now, message):
+            self._handlers[message.kind](now, message)
+
+    def take_early(self, now: float) -> list[messages.Raft]:
+        """Return a leader's messages, which do not wait for its own disk."""
+        if self._lead is None:
+            return []
+        early = self._lead.flush(now, self.commit_index)
+        transfer = self._lead.transfer_message(now)
+        return early if transfer is None else [*early, transfer]
+
+    def take_ready(self) -> Ready:
+        """Return what is to be stored and what is to be sent after that."""
+        vote = (self.term, self.vote)
+        changed = vote != self._saved_vote
+        self._saved_vote = vote
+        late, self._late = self._late, []
+        snapshot, self._pending_snapshot = self._pending_snapshot, None
+        first = self.log.stable + 1
+        entries = self.log.slice(first, self.log.last_index, 1 << 62)
+        return Ready(late, snapshot, vote if changed else None, entries)
+
+    def on_stored(self, now: float, ready: Ready) -> None:
+        """Note that all a Ready asked for is on the disk."""
+        if ready.entries:
+            last = ready.entries[-1]
+            self.log.mark_stable(last.index, last.term)
+        if ready.vote is not None:
+            self._stored_vote = ready.vote
+        own_vote = (self.term, self.key)
+        if self.role is Role.CANDIDATE and self._stored_vote == own_vote:
+            self._count_vote(now, self.key)
+        self._advance_commit()
+
+    def on_store_failed(self, ready: Ready) -> None:
+        """Take back what could not be stored for want of space.
+
+        A follower forgets entries it did not acknowledge. A leader keeps its own, since
+        others may hold them already, and offers them again with the next Ready.
+        """
+        if ready.vote is not None:
+            self._saved_vote = self._stored_vote
+        if ready.snapshot is not None and self._pending_snapshot is None:
+            self._pending_snapshot = ready.snapshot
+        if self._lead is None and ready.snapshot is None:
+            self.log.truncate(self.log.stable + 1)
+            self.commit_index = min(self.commit_index, self.log.last_index)
+        self._late.clear()
+
+    def committed(self, applied: int) -> list[messages.Entry]:
+        """Return the entries after `applied` which are committed and stored here."""
+        last = min(self.commit_index, self.log.stable)
+        return self.log.slice(applied + 1, last, 1 << 62) if last > applied else []
+
+    def propose(self, data: bytes) -> result.Result[int, exceptions.ToucanfoldError]:
+        """Append a command as leader and return its index."""
+        if self._lead is None or self._lead.transfer_to:
+            return result.Failure(self.not_leader())
+        if len(data) > MAX_COMMAND_BYTES:
+            return result.Failure(
+                exceptions.ValidationError(
+                    f"a command of {len(data)} bytes exceeds {MAX_COMMAND_BYTES}",
+                    "split it into smaller changes",
+                )
+            )
+        return result.Success(self._append(raftlog.KIND_COMMAND, data))
+
+    def request_read(self) -> result.Result[int, exceptions.NotLeaderError]:
+        """Start a confirmation of the lead; its number comes back in take_reads."""
+        if self._lead is None:
+            return result.Failure(self.not_leader())
+        self._lead.request_read(self.commit_index)
+        return result.Success(self._lead.read_sequence)
+
+    def take_reads(self) -> list[tuple[int, int]]:
+        """Return (number, index to apply first) of the confirmed reads."""
+        return self._lead.take_reads() if self._lead is not None else []
+
+    def change_members(
+        self, now: float, change: members.MemberChange
+    ) -> result.Result[int, exceptions.ToucanfoldError]:
+        """Append the first step of a change and return its index."""
+        if self._lead is None:
+            return result.Failure(self.not_leader())
+        if not self._may_change_members(self._lead):
+            return _refused(
+                "another membership change is under way", "repeat it in a second"
+            )
+        planned = members.changed(self.membership, change, self.announced)
+        if not isinstance(planned, result.Success):
+            return result.Failure(planned.failure())
+        membership = planned.unwrap()
+        if self.key not in membership.voters:
+            return _refused(
+                "the leader cannot remove itself", "transfer the leadership first"
+            )
+        expected = self.forecast(now, change)
+        if expected.losses < 0 and not change.force:
+            return _refused(
+                f"after this change {expected.text}",
+                "bring members back first, or repeat it with force",
+            )
+        return result.Success(self._change(now, membership))
+
+    def forecast(self, now: float, change: members.MemberChange) -> members.Forecast:
+        """Tell how many losses the voters could bear during and after a change."""
+        reachable = self.reachable(now)
+        planned = members.changed(self.membership, change, self.announced)
+        membership = planned.value_or(self.membership)
+        replaced = {item.replaces for item in membership.members if not item.voter}
+        for key in replaced & self.membership.voters:
+            return members.replacement_forecast(self.membership, reachable, key)
+        return members.forecast(membership, reachable)
+
+    def reachable(self, now: float) -> set[str]:
+        """Return the members heard within an election timeout (leader only)."""
+        return self._lead.reachable(now) if self._lead is not None else {self.key}
+
+    def progress(self, now: float) -> dict[str, Any]:
+        """Return the other members' progress (leader only)."""
+        return self._lead.progress(now) if self._lead is not None else {}
+
+    def transfer_leadership(self, now: float) -> bool:
+        """Stop proposals and hand over to the best voter; False without one."""
+        return self._lead is not None and self._lead.start_transfer(now, self._rng)
+
+    def compact(self, snapshot: raftlog.Snapshot, keep_entries: int) -> None:
+        """Adopt a stored snapshot of the own state."""
+        if snapshot.index > self.log.snapshot.index:
+            self.log.compact(snapshot, keep_entries)
+
+    def not_leader(self) -> exceptions.NotLeaderError:
+        """Return the error for a request that only a leader can serve."""
+        name = members.name_of(self.leader)
+        return exceptions.NotLeaderError(
+            f"{members.name_of(self.key)} is not the leader", _RESEND, name or None
+        )
+
+    def _tick_blank(self, now: float) -> None:
+        entry = self._founder.first_entry()
+        if entry is not None:
+            self._found(now, entry)
+        elif now >= self._announce_at:
+            self._announce_at = now + ANNOUNCE_S
+            self._late += self._founder.announcements()
+
+    def _found(self, now: float, entry: messages.Entry) -> None:
+        self.log.append([entry])
+        self.role = Role.FOLLOWER
+        self.term = max(self.term, entry.term)
+        self._start_timer(now)
+
+    def _on_announce(self, now: float, message: messages.Raft) -> None:
+        if members.name_of(message.receiver) != members.name_of(self.key):
+            return
+        if self.role is Role.BLANK:
+            self._founder.on_announce(message)
+            return
+        name, _, member_id = message.sender.partition(members.SEPARATOR)
+        if message.sender not in self.membership:
+            self.announced[name] = member_id
+        elif self.log.first_index == 1:
+            reply = self._reply(Kind.FOUNDED, message)
+            reply.entries = self.log.slice(1, 1, 1)
+            self._late.append(reply)
+
+    def _on_founded(self, now: float, message: messages.Raft) -> None:
+        if message.kind != Kind.FOUNDED or message.receiver != self.key:
+            return
+        if self.role is Role.BLANK and self._founder.accepts(message):
+            self._found(now, message.entries[0])
+
+    def _may_handle(self, message: messages.Raft) -> bool:
+        return self.role is not Role.BLANK or message.kind in (
+            Kind.APPEND,
+            Kind.SNAPSHOT,
+        )
+
+    def _start_timer(self, now: float) -> None:
+        self._reset_election(now)
+        if self.membership.voters == {self.key}:
+            # A single voter has nobody to wait for.
+            self._election_at = now
+
+    def _check_term(self, now: float, message: messages.Raft) -> bool:
+        """Adopt a newer term; False if the message must not be handled further."""
+        if message.kind == Kind.PRE_VOTE:
+            return True
+        if message.term > self.term:
+            if message.kind == Kind.PRE_VOTE_REPLY and message.granted:
+                return True
+            if (
+                message.kind == Kind.VOTE
+                and self._is_sticky(now)
+                and not message.granted
+            ):
+                return False
+            self._become_follower(now, message.term, "")
+        elif message.term < self.term:
+            if message.kind in (Kind.APPEND, Kind.SNAPSHOT):
+                self._late.append(self._reply(Kind.APPEND_REPLY, message))
+            elif message.kind == Kind.VOTE:
+                self._late.append(self._reply(Kind.VOTE_REPLY, message))
+            return False
+        return True
+
+    def _is_sticky(self, now: float) -> bool:
+        """Whether a leader was heard so recently that no election is needed."""
+        if self._lead is not None:
+            return self.membership.is_quorum(self._lead.reachable(now))
+        return bool(self.leader) and now < self._heard_at + ELECTION_MIN_S
+
+    def _become_follower(self, now: float, term: int, leader: str) -> None:
+        if term > self.term:
+            self.term, self.vote = term, ""
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._lead = None
+        self._votes.clear()
+        self._reset_election(now)
+
+    def _reset_election(self, now: float) -> None:
+        self._election_at = now + self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+
+    def _start_pre_vote(self, now: float) -> None:
+        self._become_follower(now, self.term, "")
+        self.role = Role.PRE_CANDIDATE
+        self._ask_votes(Kind.PRE_VOTE, self.term + 1, False)
+        self._count_vote(now, self.key)
+
+    def _start_election(self, now: float, is_transfer: bool) -> None:
+        self._become_follower(now, self.term + 1, "")
+        self.role = Role.CANDIDATE
+        self.vote = self.key
+        self._ask_votes(Kind.VOTE, self.term, is_transfer)
+
+    def _ask_votes(self, kind: Kind, term: int, is_transfer: bool) -> None:
+        for key in sorted(self.membership.voters - {self.key}):
+            self._late.append(
+                messages.Raft(
+                    kind=int(kind),
+                    sender=self.key,
+                    receiver=key,
+                    term=term,
+                    last_index=self.log.last_index,
+                    last_term=self.log.last_term,
+                    granted=is_transfer,
+                )
+            )
+
+    def _count_vote(self, now: float, key: str) -> None:
+        self._votes.add(key)
+        if not self.membership.is_quorum(self._votes):
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._start_election(now, False)
+        else:
+            self._become_leader(now)
+
+    def _become_leader(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.key
+        self._lead = leading.Lead(self.key, self.term, self.log, now)
+        # Entries of earlier terms commit only together with one of this term.
+        self._append(raftlog.KIND_NOOP, b"")
+
+    def _on_pre_vote(self, now: float, message: messages.Raft) -> None:
+        reply = self._reply(Kind.PRE_VOTE_REPLY, message)
+        reply.granted = (
+            message.term > self.term
+            and not self._is_sticky(now)
+            and self._is_up_to_date(message)
+        )
+        reply.term = message.term if reply.granted else self.term
+        self._late.append(reply)
+
+    def _on_pre_vote_reply(self, now: float, message: messages.Raft) -> None:
+        is_current = message.granted and message.term == self.term + 1
+        if self.role is Role.PRE_CANDIDATE and is_current:
+            self._count_vote(now, message.sender)
+
+    def _on_vote(self, now: float, message: messages.Raft) -> None:
+        reply = self._reply(Kind.VOTE_REPLY, message)
+        may_vote = self.vote in ("", message.sender) and self._lead is None
+        if may_vote and self._is_up_to_date(message):
+            reply.granted = True
+            self.vote = message.sender
+            self._reset_election(now)
+        self._late.append(reply)
+
+    def _on_vote_reply(self, now: float, message: messages.Raft) -> None:
+        if self.role is Role.CANDIDATE and message.granted:
+            self._count_vote(now, message.sender)
+
+    def _is_up_to_date(self, message: messages.Raft) -> bool:
+        own = (self.log.last_term, self.log.last_index)
+        return (message.last_term, message.last_index) >= own
+
+    def _on_timeout_now(self, now: float, message: messages.Raft) -> None:
+        if self.key in self.membership.voters and self._lead is None:
+            self._start_election(now, True)
+
+    def _follow(self, now: float, message: messages.Raft) -> None:
+        if self.role is not Role.FOLLOWER or self.leader != message.sender:
+            self._become_follower(now, message.term, message.sender)
+        self._heard_at = now
+        self._reset_election(now)
+
+    def _on_append(self, now: float, message: messages.Raft) -> None:
+        self._follow(now, message)
+        reply = self._reply(Kind.APPEND_REPLY, message)
+        self._late.append(reply)
+        # Everything committed is known to match the leader's log.
+        is_known = message.last_index < self.commit_index
+        if not is_known and self.log.term_at(message.last_index) != message.last_term:
+            is_short = message.last_index > self.log.last_index
+            reply.match_index = self.log.last_index if is_short else self.commit_index
+            return
+        self.log.merge(message.entries)
+        reply.granted = True
+        match = message.last_index + len(message.entries)
+        reply.match_index = max(match, self.commit_index)
+        self.commit_index = max(self.commit_index, min(message.commit, match))
+
+    def _on_append_reply(self, now: float, message: messages.Raft) -> None:
+        if self._lead is not None:
+            self._lead.on_append_reply(now, message)
+            self._advance_commit()
+
+    def _on_snapshot(self, now: float, message: messages.Raft) -> None:
+        self._follow(now, message)
+        reply = self._reply(Kind.SNAPSHOT_REPLY, message)
+        reply.last_index = message.last_index
+        self._late.append(reply)
+        has_it = self.log.term_at(message.last_index) == message.last_term
+        if message.last_index > self.commit_index and not has_it:
+            snapshot = self._partial.add(message)
+            reply.snapshot_offset = self._partial.size
+            if snapshot is None:
+                return
+            self.log.install(snapshot)
+            self._pending_snapshot = snapshot
+        self.commit_index = max(self.commit_index, message.last_index)
+        reply.granted = True
+        reply.match_index = message.last_index
+
+    def _on_snapshot_reply(self, now: float, message: messages.Raft) -> None:
+        if self._lead is not None:
+            self._lead.on_snapshot_reply(now, message)
+            self._advance_commit()
+
+    def _tick_leader(self, now: float, lead: leading.Lead) -> None:
+        reachable = lead.reachable(now)
+        if not self.membership.is_quorum(reachable):
+            self._become_follower(now, self.term, "")
+            return
+        if not self._may_change_members(lead):
+            return
+        caught_up = lead.caught_up(now, self.commit_index)
+        following = members.next_step(self.membership, reachable, caught_up)
+        if following is None or not following.is_quorum(reachable):
+            return
+        if self.key in following.voters:
+            self._change(now, following)
+        elif not lead.transfer_to:
+            lead.start_transfer(now, self._rng)
+
+    def _may_change_members(self, lead: leading.Lead) -> bool:
+        """Whether the latest membership and an entry of this term are committed."""
+        latest = max(self.log.membership_index, lead.noop_index)
+        return self.commit_index >= latest and not lead.transfer_to
+
+    def _change(self, now: float, membership: members.Membership) -> int:
+        index = self._append(raftlog.KIND_MEMBERS, membership.to_bytes())
+        if self._lead is not None:
+            self._lead.update_members(now)
+        for member in membership.members:
+            if self.announced.get(member.name) == member.member_id:
+                del self.announced[member.name]
+        return index
+
+    def _append(self, kind: int, data: bytes) -> int:
+        index = self.log.last_index + 1
+        self.log.append([messages.Entry(index, self.term, kind, data)])
+        return index
+
+    def _advance_commit(self) -> None:
+        if self._lead is not None:
+            self.commit_index = self._lead.committed(self.commit_index)
+
+    def _reply(self, kind: Kind, message: messages.Raft) -> messages.Raft:
+        return messages.Raft(
+            kind=int(kind),
+            sender=self.key,
+            receiver=message.sender,
+            term=self.term,
+            read_sequence=message.read_sequence,
+        )
+
+
+def _refused(message: str, remedy: str) -> result.Failure:
+    return result.Failure(exceptions.ValidationError(message, remedy))
--- /dev/null
+++ b/toucanfold/rafttypes.py
@@ -0,0 +1,72 @@
+"""Constants and small types of the consensus protocol."""
+
+import dataclasses
+import enum
+
+from toucanfold import messages, raftlog
+
+HEARTBEAT_S = 0.1
+ELECTION_MIN_S = 0.5
+ELECTION_MAX_S = 0.9
+# How often an instance without state announces itself to the others.
+ANNOUNCE_S = 0.2
+MAX_COMMAND_BYTES = 512 * 1024
+# Entries kept before a snapshot, for followers that are a little behind.
+KEEP_ENTRIES = 500
+
+
+class Kind(enum.IntEnum):
+    """Kinds of messages between members; pycapnp takes them only as plain int."""
+
+    ANNOUNCE = 1
+    FOUNDED = 2
+    PRE_VOTE = 3
+    PRE_VOTE_REPLY = 4
+    VOTE = 5
+    VOTE_REPLY = 6
+    APPEND = 7
+    APPEND_REPLY = 8
+    SNAPSHOT = 9
+    SNAPSHOT_REPLY = 10
+    TIMEOUT_NOW = 11
+
+
+class Role(enum.StrEnum):
+    """What a member is at present; blank means without any state."""
+
+    BLANK = "blank"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(slots=True)
+class Ready:
+    """Work for the driver, in this order.
+
+    Store snapshot, vote (term and vote, unless None) and entries; call Raft.on_stored;
+    send late.
+    """
+
+    late: list[messages.Raft]
+    snapshot: raftlog.Snapshot | None
+    vote: tuple[int, str] | None
+    entries: list[messages.Entry]
+
+    @property
+    def is_durable(self) -> bool:
+        """Whether something must be stored before the late messages are sent."""
+        return bool(self.entries or self.vote or self.snapshot)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Founding:
+    """How a member without state starts.
+
+    Addresses are those of all members of a new fleet by name. A joining member waits
+    until a leader adds it.
+    """
+
+    addresses: dict[str, str]
+    joining: bool = False
