--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,166 @@
+import asyncio
+import json
+
+import fleetparts
+import helpers
+
+from toucanfold import httpserver
+
+
+def scenario(test):
+    """Run an async test in its own loop."""
+
+    def run():
+        helpers.run(test())
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+@scenario
+async def test_request_through_one_daemon():
+    async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+        target = fleetparts.Recorder()
+        await fleet.daemon("a", "shop", await fleet.target(target))
+        reply = await fleetparts.fetch(fleet.address("a"), "POST", body=b"hello")
+        assert (reply.status, reply.body) == (200, b"hello")
+        assert reply.headers["x-target"] == "yes"
+        assert reply.headers["toucanfold-outcome"] == "ran"
+        seen = dict(target.requests[0].headers)
+        assert seen[b"toucanfold-account"] == b"acme"
+        request_id = reply.headers["toucanfold-request-id"].encode()
+        assert seen[b"toucanfold-request-id"] == request_id
+        assert 0 < int(seen[b"toucanfold-timeout-ms"]) <= 2000
+        assert fleetparts.KEY.encode() not in repr(seen).encode()
+
+
+@scenario
+async def test_request_through_two_daemons():
+    async with fleetparts.Fleet(fleetparts.fleet_state(("shop", "parts"))) as fleet:
+        target = fleetparts.Recorder()
+        await fleet.daemon("a", "shop", await fleet.target(fleetparts.Recorder()))
+        await fleet.daemon("b", "parts", await fleet.target(target))
+        for _ in range(3):
+            reply = await fleetparts.fetch(
+                fleet.address("a"), "POST", service="parts", body=b"hello"
+            )
+            assert (reply.status, reply.body) == (200, b"hello")
+        assert len(target.requests) == 3
+        assert len(fleet.daemons["a"].peers.dump()) == 1
+
+
+def caller_of(fleet, service, **headers):
+    """Return a target's handler which calls another service with its token."""
+
+    async def call_on(request):
+        token = dict(request.headers)[b"toucanfold-token"].decode()
+        reply = await fleetparts.fetch(
+            fleet.address("a", "egress"),
+            "POST",
+            service=service,
+            body=b"inner",
+            Toucanfold_Key=None,
+            Toucanfold_Token=token,
+            **headers,
+        )
+        return httpserver.Response(reply.status, [], b"outer " + reply.body)
+
+    return call_on
+
+
+@scenario
+async def test_nested_call_keeps_what_belongs_to_the_token():
+    """Guards against a target that claims another account or class."""
+    async with fleetparts.Fleet(fleetparts.fleet_state(("shop", "parts"))) as fleet:
+        outer = fleetparts.Recorder(
+            caller_of(fleet, "parts", Toucanfold_Account="other")
+        )
+        inner = fleetparts.Recorder()
+        await fleet.daemon("a", "shop", await fleet.target(outer))
+        await fleet.daemon("b", "parts", await fleet.target(inner))
+        reply = await fleetparts.fetch(fleet.address("a"))
+        assert (reply.status, reply.body) == (200, b"outer inner")
+        seen = dict(inner.requests[0].headers)
+        assert seen[b"toucanfold-account"] == b"acme"
+        request_id = reply.headers["toucanfold-request-id"].encode()
+        assert seen[b"toucanfold-request-id"] == request_id
+        outer_token = dict(outer.requests[0].headers)[b"toucanfold-token"]
+        assert seen[b"toucanfold-token"] != outer_token
+
+
+@scenario
+async def test_token_ends_with_its_call():
+    async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+        target = fleetparts.Recorder()
+        await fleet.daemon("a", "shop", await fleet.target(target))
+        await fleetparts.fetch(fleet.address("a"))
+        token = dict(target.requests[0].headers)[b"toucanfold-token"].decode()
+        reply = await fleetparts.fetch(
+            fleet.address("a", "egress"), Toucanfold_Token=token
+        )
+        assert reply.status == 400
+        assert len(target.requests) == 1
+
+
+@scenario
+async def test_refusals_before_dispatch():
+    """Guards against a request that runs without a key, route or fresh state."""
+    async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+        target = fleetparts.Recorder()
+        await fleet.daemon("a", "shop", await fleet.target(target))
+        address = fleet.address("a")
+        cases = [
+            ({"Toucanfold_Key": None}, 401, "key_refused"),
+            ({"Toucanfold_Key": "tfk_x_y"}, 401, "key_refused"),
+            ({"service": "nothing"}, 404, "no_route"),
+            ({"Toucanfold_Timeout_Ms": "soon"}, 400, "bad_request"),
+            ({"Toucanfold_Timeout_Ms": "0"}, 400, "bad_request"),
+        ]
+        for options, status, kind in cases:
+            reply = await fleetparts.fetch(address, **options)
+            assert (reply.status, json.loads(reply.body)["kind"]) == (status, kind)
+            assert reply.headers["toucanfold-outcome"] == "not-run"
+        fleet.source.fresh = False
+        reply = await fleetparts.fetch(address)
+        assert json.loads(reply.body)["kind"] == "control_stale"
+        assert reply.status == 503 and "retry-after" in reply.headers
+        assert target.requests == []
+
+
+@scenario
+async def test_debug_listener_dumps_state():
+    async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+        await fleet.daemon("a", "shop", await fleet.target(fleetparts.Recorder()))
+        await fleetparts.fetch(fleet.address("a"))
+        reply = await fleetparts.fetch(fleet.address("a", "debug"))
+        dump = json.loads(reply.body)
+        names = {item["name"] for item in dump["metrics"]["histograms"]}
+        assert names == {"total", "added", "queue"}
+        assert dump["target"]["in_flight"] == 0
+        assert fleetparts.KEY not in reply.body.decode()
+
+
+@scenario
+async def test_drain_cuts_no_request():
+    """Guards against a planned stop that loses a request which was accepted."""
+
+    async def slow(request):
+        await asyncio.sleep(1.5)
+        return httpserver.Response(200, [], b"done")
+
+    async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+        await fleet.daemon("a", "shop", await fleet.target(fleetparts.Recorder(slow)))
+        address = fleet.address("a")
+        running = asyncio.ensure_future(fleetparts.fetch(address))
+        await asyncio.sleep(0.1)
+        draining = asyncio.ensure_future(fleet.daemons["a"].drain())
+        await asyncio.sleep(0.1)
+        late = await fleetparts.fetch(address)
+        assert json.loads(late.body)["kind"] == "stopping"
+        assert late.headers["connection"] == "close"
+        assert not draining.done()
+        reply = await running
+        assert (reply.status, reply.body) == (200, b"done")
+        assert reply.headers["connection"] == "close"
+        await draining
+        assert fleet.source.events == ["drain", "leave"]
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -165,6 +165,7 @@
     level: int = MAX_LEVEL
     limit: int = 0
     in_flight: int = 0
+    target_seconds: float = 0.0
     body_stream: AsyncIterator[bytes] | None = None
 
     @classmethod
--- /dev/null
+++ b/toucanfold/dispatch.py
@@ -0,0 +1,370 @@
+"""The daemon's own target: queue, limit, connections, tokens, cancellation."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from toucanfold import (
+    bodies,
+    calls,
+    exceptions,
+    headers,
+    httpclient,
+    kernel,
+    metrics,
+    model,
+    queueing,
+)
+
+WINDOW_S = 0.1
+# Weight of the newest sample in the mean time that a call runs.
+SERVICE_TIME_GAIN = 0.1
+RANK_NAMES = {rank: name for name, rank in model.CLASS_RANKS.items()}
+
+
+class _Running:
+    """A dispatched call until its answer, including a streamed body, has ended."""
+
+    __slots__ = ("connection", "ended", "started_at", "timer", "token")
+
+    def __init__(self, token: calls.CallToken, started_at: float):
+        self.token = token
+        self.started_at = started_at
+        self.connection: httpclient.Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.ended = False
+
+
+class Dispatcher:
+    """Runs calls at the daemon's own target."""
+
+    def __init__(
+        self,
+        pool: httpclient.Pool,
+        tokens: calls.TokenTable,
+        measured: metrics.Metrics,
+        limiter: queueing.ConcurrencyLimiter,
+        queue: queueing.AdmissionQueue,
+    ):
+        self.pool = pool
+        self.tokens = tokens
+        self.in_flight = 0
+        self.level = calls.MAX_LEVEL
+        # Called with the token of a call that ended without its target's answer.
+        self.on_abandoned: Callable[[calls.CallToken], None] | None = None
+        self._limiter = limiter
+        self._queue = queue
+        self._metrics = measured
+        self._loop = asyncio.get_running_loop()
+        self._ids = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[calls.Kind | None]] = {}
+        self._service_time_s = 0.0
+        self._window: asyncio.TimerHandle | None = None
+
+    @property
+    def limit(self) -> int:
+        """Most calls that may run at the target now."""
+        return self._limiter.limit
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait for dispatch."""
+        return len(self._queue)
+
+    def start(self) -> None:
+        """Start the windows of the queue's pressure."""
+        self._window = self._loop.call_later(WINDOW_S, self._on_window)
+
+    def stop(self) -> None:
+        """Stop the windows and close the connections."""
+        if self._window is not None:
+            self._window.cancel()
+        self.pool.close()
+
+    def replace(
+        self,
+        limiter: queueing.ConcurrencyLimiter,
+        queue: queueing.AdmissionQueue,
+    ) -> None:
+        """Change the plug-ins; waiting calls move to the new queue in order."""
+        now = self._loop.time()
+        self._limiter, old, self._queue = limiter, self._queue, queue
+        while True:
+            ticket, refused = old.take(now, 0.0)
+            self._refuse(refused)
+            if ticket is None:
+                break
+            self._refuse(queue.offer(now, ticket, 0.0))
+        self._pump(now)
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Wait for a place, send the call to the target and return its answer."""
+        now = self._loop.time()
+        if call.deadline <= now:
+            return self._stamp(_too_late(), None)
+        call_id = next(self._ids)
+        granted = self._loop.create_future()
+        self._waiting[call_id] = granted
+        ticket = _ticket(call_id, call, now)
+        self._refuse(self._queue.offer(now, ticket, self._expected_wait_s()))
+        if not granted.done():
+            self._pump(now)
+        if not granted.done():
+            await self._wait(call_id, granted, call.deadline)
+        refusal = granted.result()
+        started_at = self._loop.time()
+        importance = RANK_NAMES.get(call.rank, "normal")
+        self._metrics.observe("queue", call.account, importance, started_at - now)
+        if refusal is not None:
+            self._metrics.count(f"refused.{refusal}")
+            return self._stamp(calls.refuse(refusal, "not dispatched"), None)
+        return await self._dispatch(call, started_at)
+
+    async def _wait(
+        self,
+        call_id: int,
+        granted: "asyncio.Future[calls.Kind | None]",
+        deadline: float,
+    ) -> None:
+        timer = self._loop.call_at(deadline, self._expire, call_id)
+        try:
+            await granted
+        except asyncio.CancelledError:
+            if granted.done() and not granted.cancelled() and granted.result() is None:
+                # The place was given in the same turn as the cancellation.
+                self.in_flight -= 1
+                self._pump(self._loop.time())
+            self._forget(call_id)
+            raise
+        finally:
+            timer.cancel()
+
+    def _expire(self, call_id: int) -> None:
+        granted = self._waiting.get(call_id)
+        if granted is not None and not granted.done():
+            self._forget(call_id)
+            granted.set_result(calls.Kind.DEADLINE_EXCEEDED)
+
+    def _forget(self, call_id: int) -> None:
+        self._waiting.pop(call_id, None)
+        self._queue.remove(call_id)
+
+    def _refuse(self, refused: queueing.Refused) -> None:
+        for ticket, kind in refused:
+            granted = self._waiting.pop(ticket.call_id, None)
+            if granted is not None and not granted.done():
+                granted.set_result(kind)
+
+    def _pump(self, now: float) -> None:
+        """Give free places to waiting calls."""
+        while self.in_flight < self._limiter.limit and len(self._queue):
+            ticket, refused = self._queue.take(now, self._service_time_s)
+            self._refuse(refused)
+            if ticket is None:
+                return
+            granted = self._waiting.pop(ticket.call_id, None)
+            if granted is None or granted.done():
+                continue
+            self.in_flight += 1
+            granted.set_result(None)
+
+    def _expected_wait_s(self) -> float:
+        if self.in_flight < self._limiter.limit and not len(self._queue):
+            return 0.0
+        return (len(self._queue) + 1) * self._service_time_s / max(1, self.limit)
+
+    async def _dispatch(self, call: calls.Call, started_at: float) -> calls.Answer:
+        token = self.tokens.mint(call)
+        running = _Running(token, started_at)
+        self._limiter.on_start(started_at, self.in_flight)
+        try:
+            running.timer = self._loop.call_at(call.deadline, self._on_late, running)
+            answer, kind = await self._exchange(call, running)
+        except BaseException:
+            self._end(running, queueing.FinishKind.CANCELLED)
+            raise
+        answer.target_seconds = self._loop.time() - started_at
+        stream = answer.body_stream
+        if isinstance(stream, bodies.BodyStream):
+            stream.on_end(
+                lambda complete: self._end(
+                    running, kind if complete else queueing.FinishKind.CANCELLED
+                )
+            )
+        else:
+            self._end(running, kind)
+        return self._stamp(answer, token)
+
+    async def _exchange(
+        self, call: calls.Call, running: _Running
+    ) -> tuple[calls.Answer, queueing.FinishKind]:
+        acquired = await self._acquire(call)
+        if isinstance(acquired, calls.Answer):
+            kind = queueing.FinishKind.SHED
+            if acquired.refusal and acquired.refusal.kind == "deadline_exceeded":
+                kind = queueing.FinishKind.TIMEOUT
+            return acquired, kind
+        running.connection = acquired
+        exchanged = await acquired.exchange(
+            call.method,
+            call.path,
+            self._target_headers(call, running.token),
+            call.body,
+            call.body_stream,
+        )
+        if not isinstance(exchanged, httpclient.result.Success):
+            return self._failed(call, exchanged.failure())
+        return _answered(exchanged.unwrap())
+
+    async def _acquire(self, call: calls.Call) -> httpclient.Connection | calls.Answer:
+        connection = self.pool.take_idle()
+        if connection is not None:
+            return connection
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                acquired = await self.pool.acquire()
+        except TimeoutError:
+            return _too_late()
+        if isinstance(acquired, httpclient.result.Success):
+            return acquired.unwrap()
+        return calls.refuse(
+            calls.Kind.TARGET_FAILED, acquired.failure().message, retry_after_ms=100
+        )
+
+    def _failed(
+        self, call: calls.Call, error: exceptions.TargetError
+    ) -> tuple[calls.Answer, queueing.FinishKind]:
+        outcome = calls.Outcome.UNKNOWN if error.sent else calls.Outcome.NOT_RUN
+        if error.answered:
+            outcome = calls.Outcome.RAN
+        if self._loop.time() >= call.deadline:
+            late = calls.refuse(
+                calls.Kind.DEADLINE_EXCEEDED, "the target did not answer", outcome
+            )
+            return late, queueing.FinishKind.TIMEOUT
+        failed = calls.refuse(calls.Kind.TARGET_FAILED, error.message, outcome)
+        return failed, queueing.FinishKind.FAILED
+
+    def _target_headers(
+        self, call: calls.Call, token: calls.CallToken
+    ) -> calls.Headers:
+        left_ms = max(1, int((call.deadline - self._loop.time()) * 1000))
+        fields = [
+            *call.headers,
+            (b"toucanfold-token", token.text.encode()),
+            (b"toucanfold-timeout-ms", str(left_ms).encode()),
+            (b"toucanfold-account", call.account.encode()),
+            (b"toucanfold-request-id", call.root_id.encode()),
+        ]
+        if call.idempotency_key:
+            fields.append((b"idempotency-key", call.idempotency_key.encode("latin-1")))
+        if call.body_stream is not None:
+            if headers.find(call.headers, b"content-length") is None:
+                fields.append((b"transfer-encoding", b"chunked"))
+        elif call.body or call.method in ("POST", "PUT", "PATCH"):
+            fields.append((b"content-length", str(len(call.body)).encode()))
+        if headers.find(call.headers, b"host") is None:
+            fields.append((b"host", call.service.encode()))
+        return fields
+
+    def _on_late(self, running: _Running) -> None:
+        """Close the connection of a call whose deadline has passed."""
+        if running.connection is not None and not running.ended:
+            running.connection.abort()
+
+    def _end(self, running: _Running, kind: queueing.FinishKind) -> None:
+        if running.ended:
+            return
+        running.ended = True
+        now = self._loop.time()
+        if running.timer is not None:
+            running.timer.cancel()
+        self.in_flight -= 1
+        own_time_s = running.token.own_seconds(running.started_at, now)
+        if kind == queueing.FinishKind.OK:
+            took = now - running.started_at
+            self._service_time_s += SERVICE_TIME_GAIN * (took - self._service_time_s)
+        self._limiter.on_finish(now, own_time_s, self.in_flight, kind)
+        self.tokens.end(running.token)
+        if kind not in (queueing.FinishKind.OK, queueing.FinishKind.SHED):
+            self._metrics.count(f"target.{kind.name.lower()}")
+            if self.on_abandoned is not None:
+                self.on_abandoned(running.token)
+        self._pump(now)
+
+    def _stamp(
+        self, answer: calls.Answer, token: calls.CallToken | None
+    ) -> calls.Answer:
+        answer.level = self.level if token is None else min(self.level, token.level)
+        answer.attempts_spent = 0 if token is None else token.attempts_spent
+        answer.limit = self.limit
+        answer.in_flight = self.in_flight + len(self._queue)
+        return answer
+
+    def _on_window(self) -> None:
+        now = self._loop.time()
+        self.level = self._queue.on_window(now)
+        self.pool.close_idle(now)
+        self._pump(now)
+        self._window = self._loop.call_at(now + WINDOW_S, self._on_window)
+
+
+def _ticket(call_id: int, call: calls.Call, now: float) -> queueing.Ticket:
+    return queueing.Ticket(
+        call_id,
+        call.account,
+        call.weight,
+        call.rank,
+        call.depth,
+        now - call.root_started_at,
+        call.priority,
+        call.deadline,
+        now,
+    )
+
+
+def _too_late() -> calls.Answer:
+    return calls.refuse(calls.Kind.DEADLINE_EXCEEDED, "the deadline has passed")
+
+
+def _answered(
+    answer: httpclient.TargetAnswer,
+) -> tuple[calls.Answer, queueing.FinishKind]:
+    if answer.status != 503:
+        kept = headers.for_caller(answer.headers)
+        return (
+            calls.Answer(
+                answer.status, kept, answer.body, body_stream=answer.body_stream
+            ),
+            queueing.FinishKind.OK,
+        )
+    if headers.find(answer.headers, b"toucanfold-not-run") == b"1":
+        bodies.drop(answer.body_stream)
+        text = headers.find(answer.headers, b"retry-after") or b""
+        retry_after_ms = int(text) * 1000 if text.isdigit() else 0
+        refused = calls.refuse(
+            calls.Kind.OVERLOADED,
+            "the target refused the call",
+            retry_after_ms=retry_after_ms,
+        )
+        return refused, queueing.FinishKind.SHED
+    kept = headers.for_caller(answer.headers)
+    passed = calls.Answer(503, kept, answer.body, body_stream=answer.body_stream)
+    return passed, queueing.FinishKind.SHED
+
+
+def create_plugins(
+    profile: model.Profile,
+) -> tuple[queueing.ConcurrencyLimiter, queueing.AdmissionQueue]:
+    """Create the limiter and the queue that a profile names, or the baselines."""
+    limiter = kernel.create("limiter", profile.limiter)
+    queue = kernel.create(
+        "admission",
+        profile.admission,
+        queue_ms=profile.queue_ms,
+        queue_length=profile.queue_length,
+    )
+    return (
+        limiter.value_or(queueing.FixedLimiter()),
+        queue.value_or(queueing.FifoQueue()),
+    )
--- /dev/null
+++ b/toucanfold/entry.py
@@ -0,0 +1,274 @@
+"""Callers' requests: route, key, time, pressure and rate, then the call itself."""
+
+import asyncio
+import random
+
+from toucanfold import (
+    bodies,
+    calls,
+    headers,
+    httpserver,
+    linkcalls,
+    metrics,
+    model,
+    parts,
+    replies,
+)
+
+# Account under which open routes run when the request has no valid key.
+OPEN_ACCOUNT = "open"
+BEARER = b"bearer "
+MAX_IDEMPOTENCY_KEY_BYTES = 255
+
+
+class Admitted:
+    """What the checks of a request's head found."""
+
+    __slots__ = (
+        "account",
+        "deadline",
+        "idempotency_key",
+        "profile",
+        "root_id",
+        "route",
+    )
+
+    def __init__(self, root_id: str, route: model.Route, profile: model.Profile):
+        self.root_id = root_id
+        self.route = route
+        self.profile = profile
+        self.account: model.Account | None = None
+        self.deadline = 0.0
+        self.idempotency_key = ""
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account, or the one for open routes."""
+        return OPEN_ACCOUNT if self.account is None else self.account.name
+
+
+class Entry:
+    """Handles the requests of callers."""
+
+    def __init__(
+        self,
+        source: parts.StateSource,
+        fleet_secret: bytes,
+        forwarder: linkcalls.CallRunner,
+        measured: metrics.Metrics,
+        rng: random.Random,
+        levels: parts.Levels | None = None,
+        rate: parts.Rate | None = None,
+        serve_open_when_stale: bool = False,
+    ):
+        self.running = 0
+        self.stopping = False
+        self._source = source
+        self._secret = fleet_secret
+        self._forwarder = forwarder
+        self._metrics = measured
+        self._rng = rng
+        self._levels = levels or parts.OpenLevels()
+        self._rate = rate or parts.NoRate()
+        self._serve_open_when_stale = serve_open_when_stale
+        self._loop = asyncio.get_running_loop()
+
+    def protocol_refusal(self, status: int, message: str) -> httpserver.Response:
+        """Return the answer to a malformed, oversize or slow request."""
+        self._metrics.count(f"http.{status}")
+        return replies.broken_request(status, message)
+
+    def check_head(self, request: httpserver.Request) -> httpserver.Response | None:
+        """Check what needs no body: state, route, key and headers."""
+        root_id = calls.new_root_id()
+        checked = self._check(request, root_id)
+        if isinstance(checked, Admitted):
+            request.context = checked
+            return None
+        self._metrics.count(f"refused.{checked.kind}")
+        return replies.refusal(checked, root_id)
+
+    async def handle(self, request: httpserver.Request) -> httpserver.Response:
+        """Run the call of a request and return its response."""
+        admitted = request.context
+        assert isinstance(admitted, Admitted)
+        self.running += 1
+        try:
+            answer = await self._run(request, admitted)
+        finally:
+            self.running -= 1
+        self._observe(request, admitted, answer)
+        return replies.response(answer, admitted.root_id)
+
+    def _check(
+        self, request: httpserver.Request, root_id: str
+    ) -> Admitted | calls.Refusal:
+        if self.stopping:
+            return calls.Refusal(calls.Kind.STOPPING, message="this daemon is stopping")
+        if headers.line_has_key(request.method, request.path):
+            return _bad("the request line holds a key; send it as a header")
+        service = service_of(request.headers)
+        state = self._source.state
+        path = request.path.partition("?")[0]
+        route = state.route_for(service, request.method, path)
+        if route is None:
+            return self._without_route(service)
+        profile = state.profiles.get(route.profile)
+        if profile is None:
+            return self._without_route(service)
+        if not self._is_served(route):
+            return calls.Refusal(
+                calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
+            )
+        admitted = Admitted(root_id, route, profile)
+        return (
+            self._check_key(request, admitted)
+            or _check_limits(request, admitted)
+            or admitted
+        )
+
+    def _without_route(self, service: str) -> calls.Refusal:
+        if not self._source.is_fresh(self._loop.time()):
+            return calls.Refusal(
+                calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
+            )
+        return calls.Refusal(
+            calls.Kind.NO_ROUTE, message=f"no route for service {service!r}"
+        )
+
+    def _is_served(self, route: model.Route) -> bool:
+        if self._source.is_fresh(self._loop.time()):
+            return True
+        # Before the first state there is no route, so this needs no further check.
+        return route.open and self._serve_open_when_stale
+
+    def _check_key(
+        self, request: httpserver.Request, admitted: Admitted
+    ) -> calls.Refusal | None:
+        found = presented_keys(request.headers)
+        shaped = headers.keys_in(request.headers)
+        if len(found) > 1 or len(shaped | found) > 1:
+            return _bad("the request holds different keys")
+        if found:
+            text = found.pop().decode("latin-1")
+            admitted.account = self._source.state.account_of(text, self._secret)
+        if admitted.account is None and not admitted.route.open:
+            message = "the key is not valid" if shaped or found else "no key was sent"
+            return calls.Refusal(calls.Kind.KEY_REFUSED, message=message)
+        return None
+
+    async def _run(
+        self, request: httpserver.Request, admitted: Admitted
+    ) -> calls.Answer:
+        call = _to_call(request, admitted)
+        route = admitted.route.name
+        now = self._loop.time()
+        if not self._levels.admits(now, route, call.level, self._rng):
+            bodies.drop(call.body_stream)
+            return calls.refuse(
+                calls.Kind.OVERLOADED, "a service of this route is overloaded"
+            )
+        if admitted.account is not None:
+            wait_s = await self._rate.spend(admitted.account.name)
+            if wait_s > 0:
+                bodies.drop(call.body_stream)
+                return calls.refuse(
+                    calls.Kind.RATE_EXCEEDED,
+                    f"client account {admitted.account_name} exceeds its rate",
+                    retry_after_ms=max(1, int(wait_s * 1000)),
+                )
+        answer = await self._forwarder.run(call)
+        self._levels.on_answer(self._loop.time(), route, answer.level)
+        return answer
+
+    def _observe(
+        self,
+        request: httpserver.Request,
+        admitted: Admitted,
+        answer: calls.Answer,
+    ) -> None:
+        total_s = self._loop.time() - request.received_at
+        account, importance = admitted.account_name, admitted.profile.importance
+        self._metrics.observe("total", account, importance, total_s)
+        if answer.refusal is None:
+            added_s = total_s - answer.target_seconds
+            self._metrics.observe("added", account, importance, added_s)
+        else:
+            self._metrics.count(f"refused.{answer.refusal.kind}")
+
+
+def service_of(fields: calls.Headers) -> str:
+    """Return the service that a request names."""
+    named = headers.find(fields, b"toucanfold-service")
+    if named is None:
+        host = headers.find(fields, b"host") or b""
+        named = host.partition(b":")[0].partition(b".")[0]
+    return named.decode("latin-1")
+
+
+def presented_keys(fields: calls.Headers) -> set[bytes]:
+    """Return the different keys in the headers made for them."""
+    found = set()
+    for name, value in fields:
+        if name == b"toucanfold-key":
+            found.add(value.strip())
+        elif name == b"authorization" and value[:7].lower() == BEARER:
+            found.add(value[7:].strip())
+    return found
+
+
+def read_timeout_ms(fields: calls.Headers) -> int | None:
+    """Return the caller's time left in milliseconds: 0 if unset, None if wrong."""
+    text = headers.find(fields, b"toucanfold-timeout-ms")
+    if text is None:
+        return 0
+    if not text.isdigit() or len(text) > 9 or int(text) == 0:
+        return None
+    return int(text)
+
+
+def target_headers(request: httpserver.Request) -> calls.Headers:
+    """Return the fields of a request that its target may see."""
+    return headers.for_target(request.headers, request.body_stream is not None)
+
+
+def _bad(message: str) -> calls.Refusal:
+    return calls.Refusal(calls.Kind.BAD_REQUEST, message=message)
+
+
+def _check_limits(
+    request: httpserver.Request, admitted: Admitted
+) -> calls.Refusal | None:
+    timeout_ms = read_timeout_ms(request.headers)
+    if timeout_ms is None:
+        return _bad("Toucanfold-Timeout-Ms must be a positive number")
+    allowed_ms = min(timeout_ms or model.MAX_DEADLINE_MS, admitted.profile.deadline_ms)
+    admitted.deadline = request.received_at + allowed_ms / 1000
+    key = headers.find(request.headers, b"idempotency-key") or b""
+    if len(key) > MAX_IDEMPOTENCY_KEY_BYTES or headers.has_key(key):
+        return _bad("Idempotency-Key is too long or holds a client account's key")
+    admitted.idempotency_key = key.decode("latin-1")
+    return None
+
+
+def _to_call(request: httpserver.Request, admitted: Admitted) -> calls.Call:
+    account, profile = admitted.account, admitted.profile
+    return calls.Call(
+        root_id=admitted.root_id,
+        service=admitted.route.service,
+        method=request.method,
+        path=request.path,
+        headers=target_headers(request),
+        body=request.body,
+        account=admitted.account_name,
+        rank=profile.rank,
+        idempotent=profile.idempotent,
+        deadline=admitted.deadline,
+        root_started_at=request.received_at,
+        route=admitted.route.name,
+        weight=1.0 if account is None else account.weight,
+        priority=calls.priority_of(admitted.root_id),
+        attempts_left=profile.attempts,
+        idempotency_key=admitted.idempotency_key,
+        body_stream=request.body_stream,
+    )
--- a/toucanfold/exceptions.py
+++ b/toucanfold/exceptions.py
@@ -85,3 +85,23 @@
         super().__init__(message, remedy)
         self.status = status
         self.kind = kind
+
+
+class TargetError(ToucanfoldError):
+    """A target could not be reached, or its answer is missing or broken.
+
+    sent tells whether any byte of the request was handed to the target; answered
+    whether the head of its answer arrived.
+    """
+
+    def __init__(self, message: str, sent: bool, answered: bool = False):
+        super().__init__(message, "check that the target runs and speaks HTTP/1.1")
+        self.sent = sent
+        self.answered = answered
+
+
+class BodyAbortedError(ToucanfoldError):
+    """A body ended before it was complete."""
+
+    def __init__(self, message: str):
+        super().__init__(message, "repeat the request if that is safe")
--- /dev/null
+++ b/toucanfold/headers.py
@@ -0,0 +1,117 @@
+"""Header fields: what a proxy removes, and where keys can hide."""
+
+import urllib.parse
+
+from toucanfold import calls, model
+
+# RFC 9110 section 7.6.1 and their older companions.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Set by this daemon for its target, or addressed to the daemon alone.
+NEVER_TO_TARGET = HOP_BY_HOP | frozenset(
+    (
+        b"authorization",
+        b"expect",
+        b"idempotency-key",
+        b"toucanfold-account",
+        b"toucanfold-attempt",
+        b"toucanfold-key",
+        b"toucanfold-request-id",
+        b"toucanfold-service",
+        b"toucanfold-timeout-ms",
+        b"toucanfold-token",
+    )
+)
+# Set by the daemon that answers the caller.
+NEVER_TO_CALLER = HOP_BY_HOP | frozenset(
+    (
+        b"toucanfold-not-run",
+        b"toucanfold-outcome",
+        b"toucanfold-request-id",
+        b"toucanfold-token",
+    )
+)
+KEY_MARK = b"tfk_"
+
+
+def find(headers: calls.Headers, name: bytes) -> bytes | None:
+    """Return the first value of a field with a lower-case name."""
+    for known, value in headers:
+        if known == name:
+            return value
+    return None
+
+
+def named_by_connection(headers: calls.Headers) -> set[bytes]:
+    """Return the fields which the Connection header declares hop-by-hop."""
+    names: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            names.update(part.strip().lower() for part in value.split(b","))
+    return names
+
+
+def has_key(data: bytes) -> bool:
+    """Whether text shaped like a key stands anywhere in the bytes."""
+    if KEY_MARK not in data.lower():
+        return False
+    return model.KEY_PATTERN.search(data) is not None
+
+
+def line_has_key(method: str, path: str) -> bool:
+    """Whether a request line holds a key, plain or percent-encoded."""
+    if method[:4].lower() == "tfk_" and has_key(method.encode("latin-1")):
+        return True
+    data = path.encode("latin-1")
+    for _ in range(3):
+        if has_key(data):
+            return True
+        if b"%" not in data:
+            return False
+        data = urllib.parse.unquote_to_bytes(data)
+    return has_key(data)
+
+
+def for_target(headers: calls.Headers, keep_length: bool) -> calls.Headers:
+    """Return a caller's fields without keys and hop-by-hop fields."""
+    named = named_by_connection(headers)
+    kept = []
+    for name, value in headers:
+        if name in NEVER_TO_TARGET or name in named:
+            continue
+        if name == b"content-length" and not keep_length:
+            continue
+        if not (has_key(value) or has_key(name)):
+            kept.append((name, value))
+    return kept
+
+
+def for_caller(headers: calls.Headers) -> calls.Headers:
+    """Return a target's fields without those that belong to one connection."""
+    named = named_by_connection(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in NEVER_TO_CALLER and name not in named
+    ]
+
+
+def keys_in(headers: calls.Headers) -> set[bytes]:
+    """Return all different texts shaped like a key in names and values."""
+    found: set[bytes] = set()
+    for name, value in headers:
+        for text in (name, value):
+            if has_key(text):
+                found.update(model.KEY_PATTERN.findall(text))
+    return found
--- /dev/null
+++ b/toucanfold/httpserver.py
@@ -0,0 +1,560 @@
+"""HTTP/1.1 server on h11: keep-alive, streaming, limits and timeouts."""
+
+import asyncio
+import dataclasses
+import math
+import socket
+import ssl
+import struct
+from collections.abc import AsyncIterator
+from typing import Any, Protocol
+
+import h11
+from absl import logging
+
+from toucanfold import bodies, calls, exceptions, link
+
+# Pipelined bytes that may wait while a request is handled.
+PIPELINE_BYTES = 64 << 10
+# Time in which a refused caller's unread body is discarded before the close, so
+# that the reset caused by unread data does not destroy the refusal.
+LINGER_S = 1.0
+# Slowest mean rate of a body once the body timeout has passed (bytes/s).
+SLOWEST_BODY_RATE = 1024
+REASONS = {408: b"Request Timeout", 431: b"Request Header Fields Too Large"}
+
+
+@dataclasses.dataclass(slots=True)
+class Limits:
+    """What a connection may use; sizes in bytes, times in seconds."""
+
+    max_header: int = 32 << 10
+    max_body: int = 16 << 20
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+    max_connections: int = 4000
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request with its whole body, or with a stream of its parts.
+
+    received_at is the monotonic time at which the head was complete.
+    """
+
+    method: str
+    path: str
+    headers: calls.Headers
+    received_at: float
+    body: bytes = b""
+    body_stream: bodies.BodyStream | None = None
+    context: Any = None
+
+
+@dataclasses.dataclass(slots=True)
+class Response:
+    """A response with its whole body, or with a stream of its parts."""
+
+    status: int
+    headers: calls.Headers
+    body: bytes = b""
+    body_stream: AsyncIterator[bytes] | None = None
+    close: bool = False
+
+
+class Handler(Protocol):
+    """Answers the requests of a server."""
+
+    def check_head(self, request: Request) -> Response | None:
+        """Refuse a request before its body is read, or return None."""
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a request; cancelled when the caller disconnects."""
+
+    def protocol_refusal(self, status: int, message: str) -> Response:
+        """Return the answer to a malformed, oversize or slow request."""
+
+
+class Connection(asyncio.Protocol):
+    """One caller's connection; requests are handled one after the other."""
+
+    __slots__ = (
+        "_body",
+        "_body_bytes",
+        "_body_started_at",
+        "_deadline",
+        "_drained",
+        "_handler",
+        "_http",
+        "_lingering",
+        "_loop",
+        "_request",
+        "_server",
+        "_stream",
+        "_task",
+        "_timer",
+        "_transport",
+    )
+
+    def __init__(self, server: "Server"):
+        self._server = server
+        self._handler = server.handler
+        self._loop = server.loop
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.max_header
+        )
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._request: Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._body_started_at = 0.0
+        self._stream: bodies.BodyStream | None = None
+        self._drained: asyncio.Future[None] | None = None
+        self._deadline = math.inf
+        self._timer: asyncio.TimerHandle | None = None
+        self._lingering = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request has begun."""
+        return self._request is None and not self._http.trailing_data[0]
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for the first request."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        if not self._server.add(self):
+            transport.abort()
+            return
+        self._arm(self._server.limits.header_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs for this caller."""
+        self._server.discard(self)
+        self._transport = None
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._stream is not None:
+            self._stream.abort("the caller disconnected")
+        self.resume_writing()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Close, which cancels what runs: a caller that stops is taken as gone."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Make the answer's producer wait until the caller reads."""
+        self._drained = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Let the answer's producer go on."""
+        drained, self._drained = self._drained, None
+        if drained is not None and not drained.done():
+            drained.set_result(None)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the caller."""
+        if self._lingering:
+            return
+        self._http.receive_data(data)
+        self._advance()
+        if self._transport is None or self._task is not None:
+            self._limit_pipeline()
+        elif self._request is None and self._http.trailing_data[0]:
+            self._arm_head()
+
+    def close_when_idle(self) -> None:
+        """Close now if no request has begun; else after its answer."""
+        if self.is_idle and self._transport is not None and not self._lingering:
+            self._transport.close()
+
+    def _arm_head(self) -> None:
+        """Start the head's time limit at its first byte only."""
+        limit = self._loop.time() + self._server.limits.header_timeout_s
+        if self._deadline > limit:
+            self._set_deadline(limit)
+
+    def _limit_pipeline(self) -> None:
+        if self._transport is None or self._stream is not None:
+            return
+        if len(self._http.trailing_data[0]) > PIPELINE_BYTES:
+            self._transport.pause_reading()
+
+    def _advance(self) -> None:
+        while self._transport is not None and not self._lingering:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(error.error_status_hint, str(error))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if type(event) is h11.Request:
+                self._on_head(event)
+            elif type(event) is h11.Data:
+                self._on_data(event.data)
+            elif type(event) is h11.EndOfMessage:
+                self._on_body_end()
+            else:
+                self._transport.close()
+                return
+
+    def _on_head(self, event: h11.Request) -> None:
+        now = self._loop.time()
+        headers = list(event.headers)
+        problem, length = _framing(event, headers)
+        if problem:
+            self._refuse(400, problem)
+            return
+        if length > self._server.limits.max_body:
+            self._refuse(413, f"a body of {length} bytes is too large")
+            return
+        request = Request(
+            event.method.decode("ascii"), event.target.decode("ascii"), headers, now
+        )
+        self._request = request
+        self._body, self._body_bytes, self._body_started_at = [], 0, now
+        self._stream = None
+        self._deadline = now + self._server.limits.body_timeout_s
+        refusal = self._handler.check_head(request)
+        if refusal is not None:
+            self._start(self._send_refusal(refusal))
+            return
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        if length > bodies.WHOLE_BYTES:
+            self._start_streaming()
+
+    def _on_data(self, data: bytes) -> None:
+        if self._request is None:
+            return
+        self._body_bytes += len(data)
+        limits = self._server.limits
+        if self._body_bytes > limits.max_body:
+            self._refuse(413, f"a body of more than {limits.max_body} bytes")
+            return
+        self._extend_body_time()
+        if self._stream is not None:
+            self._stream.put(bytes(data))
+            if self._stream.buffered_bytes > bodies.WINDOW_BYTES:
+                self._pause_body()
+            return
+        self._body.append(bytes(data))
+        if self._body_bytes > bodies.WHOLE_BYTES and self._task is None:
+            self._start_streaming()
+
+    def _extend_body_time(self) -> None:
+        limits = self._server.limits
+        now = self._loop.time()
+        slowest = (
+            self._body_started_at
+            + limits.body_timeout_s
+            + self._body_bytes / SLOWEST_BODY_RATE
+        )
+        self._set_deadline(min(now + limits.body_timeout_s, slowest))
+
+    def _start_streaming(self) -> None:
+        assert self._request is not None
+        self._stream = bodies.BodyStream(self._on_taken)
+        for part in self._body:
+            self._stream.put(part)
+        self._body = []
+        self._request.body_stream = self._stream
+        self._start(self._run(self._request))
+
+    def _pause_body(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
+            self._deadline = math.inf
+
+    def _on_taken(self, size: int) -> None:
+        stream = self._stream
+        if stream is None or stream.is_ended or self._transport is None:
+            return
+        if stream.buffered_bytes <= bodies.WINDOW_BYTES // 2 and (
+            not self._transport.is_reading()
+        ):
+            # The pause was ours, so the caller's time starts again.
+            self._body_started_at = self._loop.time() - (
+                self._body_bytes / SLOWEST_BODY_RATE
+            )
+            self._extend_body_time()
+            self._transport.resume_reading()
+
+    def _on_body_end(self) -> None:
+        self._deadline = math.inf
+        if self._stream is not None:
+            self._stream.finish()
+        elif self._request is not None and self._task is None:
+            self._request.body = b"".join(self._body)
+            self._body = []
+            self._start(self._run(self._request))
+
+    def _start(self, coroutine: Any) -> None:
+        self._task = self._loop.create_task(coroutine)
+
+    async def _run(self, request: Request) -> None:
+        try:
+            response = await self._handler.handle(request)
+        except asyncio.CancelledError:
+            if self._task is not None:
+                # Cancelled from inside: without an answer the caller must not wait.
+                self._abort()
+            raise
+        except Exception:
+            logging.exception("a request failed")
+            response = self._handler.protocol_refusal(500, "internal error")
+            response.close = True
+        await self._respond(response)
+
+    async def _send_refusal(self, response: Response) -> None:
+        await self._respond(response)
+
+    async def _respond(self, response: Response) -> None:
+        assert self._request is not None
+        if self._transport is None:
+            bodies.drop(response.body_stream)
+            return
+        unread = self._http.their_state is h11.SEND_BODY
+        headers = self._head_fields(response, unread)
+        head = h11.Response(status_code=response.status, headers=headers)
+        try:
+            if response.body_stream is not None:
+                await self._stream_out(head, response.body_stream)
+            else:
+                self._write_whole(head, response.body)
+        except (h11.LocalProtocolError, exceptions.BodyAbortedError) as error:
+            logging.warning("closed a caller's connection in its answer: %s", error)
+            self._abort()
+            return
+        finally:
+            bodies.drop(response.body_stream)
+        self._task = None
+        self._after_response()
+
+    def _head_fields(self, response: Response, unread: bool) -> calls.Headers:
+        assert self._request is not None
+        headers = response.headers
+        if response.close or unread or self._server.draining:
+            headers = [*headers, (b"connection", b"close")]
+        if response.body_stream is None and self._request.method != "HEAD":
+            has_body = response.status not in (204, 304)
+            if has_body and not any(name == b"content-length" for name, _ in headers):
+                length = str(len(response.body)).encode()
+                headers = [*headers, (b"content-length", length)]
+        return headers
+
+    def _write_whole(self, head: h11.Response, body: bytes) -> None:
+        assert self._transport is not None
+        data = self._http.send(head) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._transport.write(data)
+
+    async def _stream_out(
+        self, head: h11.Response, stream: AsyncIterator[bytes]
+    ) -> None:
+        self._write(head)
+        async for part in stream:
+            self._write(h11.Data(data=part))
+            if self._drained is not None:
+                await self._wait_for_reader()
+        self._write(h11.EndOfMessage())
+
+    async def _wait_for_reader(self) -> None:
+        saved = self._deadline
+        self._set_deadline(self._loop.time() + self._server.limits.body_timeout_s)
+        if self._drained is not None:
+            await self._drained
+        self._deadline = saved
+
+    def _write(self, event: Any) -> None:
+        data = self._http.send(event)
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+    def _after_response(self) -> None:
+        self._request = None
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.drop()
+        if self._transport is None:
+            return
+        if (
+            self._http.our_state is not h11.DONE
+            or self._http.their_state is not h11.DONE
+        ):
+            self._linger()
+            return
+        self._http.start_next_cycle()
+        if self._server.draining:
+            self._transport.close()
+            return
+        self._set_deadline(self._loop.time() + self._server.limits.idle_timeout_s)
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        if self._http.trailing_data[0]:
+            self._advance()
+
+    def _refuse(self, status: int, message: str) -> None:
+        """Answer a broken request, unless an answer has begun, and close."""
+        self._server.refused += 1
+        if self._stream is not None:
+            self._stream.abort(message)
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._abort()
+            return
+        response = self._handler.protocol_refusal(status, message)
+        fields = [*response.headers, (b"connection", b"close")]
+        fields.append((b"content-length", str(len(response.body)).encode()))
+        reason = REASONS.get(status, b"")
+        self._write_whole(
+            h11.Response(status_code=status, headers=fields, reason=reason),
+            response.body,
+        )
+        self._linger()
+
+    def _linger(self) -> None:
+        """Send what is written, discard what still arrives, then close."""
+        if self._transport is None:
+            return
+        self._lingering = True
+        if self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            self._transport.close()
+            return
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
+        self._set_deadline(self._loop.time() + LINGER_S)
+
+    def _abort(self) -> None:
+        """Close with a reset, so that the caller cannot take the answer as whole."""
+        transport = self._transport
+        if transport is None:
+            return
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        transport.abort()
+
+    def _arm(self, seconds: float) -> None:
+        self._set_deadline(self._loop.time() + seconds)
+
+    def _set_deadline(self, when: float) -> None:
+        """Move the deadline; the timer moves only when it would fire too late."""
+        self._deadline = when
+        if self._timer is None:
+            self._timer = self._loop.call_at(when, self._on_timer)
+        elif self._timer.when() > when:
+            self._timer.cancel()
+            self._timer = self._loop.call_at(when, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._transport is None:
+            return
+        if self._loop.time() < self._deadline:
+            if self._deadline != math.inf:
+                self._set_deadline(self._deadline)
+            return
+        self._deadline = math.inf
+        if self._lingering or self.is_idle or self._drained is not None:
+            self._transport.abort()
+        elif self._stream is not None:
+            self._stream.abort("the caller sends its body too slowly")
+        else:
+            self._refuse(408, "the request took too long to arrive")
+
+
+def _framing(event: h11.Request, headers: calls.Headers) -> tuple[str, int]:
+    """Return what is wrong with a request head, and its Content-Length or 0."""
+    length, chunked = 0, False
+    has_length = False
+    for name, value in headers:
+        if name == b"content-length":
+            has_length, length = True, int(value)
+        elif name == b"transfer-encoding":
+            chunked = True
+    if has_length and chunked:
+        return "Content-Length and Transfer-Encoding together", 0
+    if chunked and event.http_version < b"1.1":
+        return "Transfer-Encoding needs HTTP/1.1", 0
+    if not event.target.startswith(b"/"):
+        return "the request target must be a path", 0
+    return "", length
+
+
+class Server:
+    """Listens on an address and counts its connections."""
+
+    __slots__ = (
+        "_connections",
+        "_server",
+        "draining",
+        "handler",
+        "limits",
+        "loop",
+        "refused",
+    )
+
+    def __init__(self, handler: Handler, limits: Limits):
+        self.handler = handler
+        self.limits = limits
+        self.draining = False
+        self.refused = 0
+        self.loop = asyncio.get_running_loop()
+        self._connections: set[Connection] = set()
+        self._server: asyncio.Server | None = None
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    @property
+    def busy(self) -> int:
+        """Number of connections whose request has not been answered whole."""
+        return sum(not connection.is_idle for connection in self._connections)
+
+    async def listen(self, address: str, tls: ssl.SSLContext | None = None) -> None:
+        """Accept connections on an address; OSError if it cannot be bound."""
+        host, port = link.split_address(address)
+        self._server = await self.loop.create_server(
+            lambda: Connection(self), host, port, ssl=tls, backlog=1024
+        )
+
+    def add(self, connection: Connection) -> bool:
+        """Count a connection; False when there are too many."""
+        if len(self._connections) >= self.limits.max_connections:
+            return False
+        self._connections.add(connection)
+        return True
+
+    def discard(self, connection: Connection) -> None:
+        """Forget a connection that is closed."""
+        self._connections.discard(connection)
+
+    def drain(self) -> None:
+        """Close each connection after its next answer."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for connection in list(self._connections):
+            connection.close_when_idle()
+
+    def stop(self) -> None:
+        """Stop to listen and abort all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            if connection._transport is not None:
+                connection._transport.abort()
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -79,6 +79,7 @@
   level @11 :UInt16;
   limit @12 :UInt32;
   inFlight @13 :UInt32;
+  targetUs @14 :UInt64;
 }
 
 struct Body {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -117,6 +117,7 @@
     level: int = 0
     limit: int = 0
     in_flight: int = 0
+    target_us: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/toucanfold/parts.py
@@ -0,0 +1,125 @@
+"""What the call path needs of other parts of a daemon, with simple defaults."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from toucanfold import calls, dispatch, model, peers
+
+
+class StateSource(Protocol):
+    """The fleet state and whether it is fresh; watch.Watch is one."""
+
+    state: model.FleetState
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether callers' requests may be accepted under this state."""
+
+    def subscribe(self, callback: Callable[[model.FleetState], None]) -> None:
+        """Call back with each new state."""
+
+    async def drain(self) -> None:
+        """Announce that this daemon takes no new calls."""
+
+    async def leave(self) -> None:
+        """Announce that this daemon is gone."""
+
+
+class FixedState:
+    """A state source that stands in for control in tests and measurements."""
+
+    def __init__(self, state: model.FleetState):
+        self.state = state
+        self.fresh = True
+        self.events: list[str] = []
+        self._callbacks: list[Callable[[model.FleetState], None]] = []
+
+    def is_fresh(self, now: float) -> bool:
+        """Return what the attribute fresh says."""
+        return self.fresh
+
+    def subscribe(self, callback: Callable[[model.FleetState], None]) -> None:
+        """Keep a callback for new states."""
+        self._callbacks.append(callback)
+
+    def publish(self) -> None:
+        """Tell the subscribers that the state changed."""
+        for callback in self._callbacks:
+            callback(self.state)
+
+    async def drain(self) -> None:
+        """Record the announcement."""
+        self.events.append("drain")
+
+    async def leave(self) -> None:
+        """Record the announcement."""
+        self.events.append("leave")
+
+
+class Levels(Protocol):
+    """Pressure learnt from answers, per route; pressure.LearntLevels is one."""
+
+    def on_answer(self, now: float, route: str, level: int) -> None:
+        """Learn the level of an answer."""
+
+    def admits(self, now: float, route: str, level: int, rng: random.Random) -> bool:
+        """Whether a call of a level may go on."""
+
+
+class OpenLevels:
+    """Learns nothing and admits every call."""
+
+    def on_answer(self, now: float, route: str, level: int) -> None:
+        """Learn nothing."""
+
+    def admits(self, now: float, route: str, level: int, rng: random.Random) -> bool:
+        """Admit the call."""
+        return True
+
+
+class Rate(Protocol):
+    """Waits for a token of a client account or says how long until there is one."""
+
+    async def spend(self, account: str) -> float:
+        """Return 0 when a token was spent, else the seconds until one (at least)."""
+
+
+class NoRate:
+    """Does not limit client accounts."""
+
+    async def spend(self, account: str) -> float:
+        """Return 0."""
+        return 0.0
+
+
+class DirectForwarder:
+    """Sends each call once: to the own target, else to any target that is up."""
+
+    def __init__(
+        self,
+        own_service: str,
+        source: StateSource,
+        dispatcher: dispatch.Dispatcher,
+        links: peers.Peers,
+        rng: random.Random,
+    ):
+        self._own_service = own_service
+        self._source = source
+        self._dispatcher = dispatcher
+        self._links = links
+        self._rng = rng
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Return the answer of one attempt."""
+        if call.service == self._own_service:
+            return await self._dispatcher.run(call)
+        targets = self._source.state.targets_of(call.service)
+        usable = [target for target in targets if target.state == "up"]
+        if not usable:
+            return calls.refuse(
+                calls.Kind.NO_TARGET, f"no target of {call.service} is up"
+            )
+        return await self._links.run(self._rng.choice(usable), call)
+
+
+Dump = dict[str, Any]
--- /dev/null
+++ b/toucanfold/peers.py
@@ -0,0 +1,293 @@
+"""Links to other daemons: which are open, when they close, and calls over them."""
+
+import asyncio
+import hashlib
+import ssl
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from absl import logging
+from returns import result
+
+from toucanfold import calls, link, linkcalls, messages, model
+
+LINKS_PER_SERVICE = 8
+IDLE_LIMIT_S = 60.0
+SWEEP_S = 1.0
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 5.0
+
+
+class OwnerMessages(Protocol):
+    """Takes the messages about recorded calls."""
+
+    def on_message(self, opened: link.Link, message: messages.Message) -> None:
+        """Handle an intent, a record or a part of a slot's records."""
+
+
+class _Peer:
+    """The link to one other daemon, and when to try again after a failure."""
+
+    __slots__ = ("address", "connecting", "name", "pause_s", "retry_at", "session")
+
+    def __init__(self, name: str):
+        self.name = name
+        self.address = ""
+        self.session: linkcalls.Session | None = None
+        self.connecting: asyncio.Task[bool] | None = None
+        self.pause_s = FIRST_PAUSE_S
+        self.retry_at = 0.0
+
+
+def choose_links(
+    own: model.Target, targets: list[model.Target], limit: int = LINKS_PER_SERVICE
+) -> list[model.Target]:
+    """Return the targets to keep links with: nearest first, then by rendezvous hash.
+
+    The hash spreads the links of all daemons evenly and changes few of them when a
+    target joins or leaves.
+    """
+
+    def order(target: model.Target) -> tuple[int, bytes]:
+        distance = 2
+        if target.region == own.region:
+            distance = 0 if target.data_centre == own.data_centre else 1
+        text = f"{own.name}\0{target.name}".encode()
+        return distance, hashlib.blake2b(text, digest_size=8).digest()
+
+    usable = (item for item in targets if item.state == "up")
+    others = (item for item in usable if item.name != own.name)
+    return sorted(others, key=order)[:limit]
+
+
+class Peers:
+    """Opens, keeps and closes links, and runs calls over them."""
+
+    def __init__(
+        self,
+        identity: link.Identity,
+        service: str,
+        runner: linkcalls.CallRunner,
+        tls: ssl.SSLContext | None = None,
+        server_tls: ssl.SSLContext | None = None,
+    ):
+        self.owner: OwnerMessages | None = None
+        # Called with (now, name, is_up) when a link opens or is lost.
+        self.on_link: Callable[[float, str, bool], None] | None = None
+        self.draining = False
+        self._identity = identity
+        self._service = service
+        self._runner = runner
+        self._tls = tls
+        self._server_tls = server_tls
+        self._loop = asyncio.get_running_loop()
+        self._peers: dict[str, _Peer] = {}
+        self._sessions: dict[link.Link, linkcalls.Session] = {}
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def incoming(self) -> int:
+        """Number of other daemons' calls that run here."""
+        return sum(session.incoming for session in self._sessions.values())
+
+    @property
+    def outgoing(self) -> int:
+        """Number of calls sent to other daemons."""
+        return sum(session.outgoing for session in self._sessions.values())
+
+    async def listen(self, address: str) -> None:
+        """Accept links on an address; OSError if it cannot be bound."""
+        self._server = await link.listen(
+            address, self._identity, self, self._server_tls
+        )
+        self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
+
+    async def run(self, target: model.Target, call: calls.Call) -> calls.Answer:
+        """Run a call at another daemon's target; opens a link if there is none."""
+        session = self._open_session(target.name)
+        if session is None:
+            session = await self._connect(target, call.deadline)
+        if session is None:
+            return calls.refuse(
+                calls.Kind.NO_TARGET, f"no link to the daemon of {target.name}"
+            )
+        if session.going_away:
+            return calls.refuse(calls.Kind.STOPPING, f"{target.name} is stopping")
+        return await session.run(call)
+
+    async def link_to(self, target: model.Target) -> link.Link | None:
+        """Return an open link to another daemon, opening it on demand."""
+        session = self._open_session(target.name)
+        if session is None:
+            deadline = self._loop.time() + link.HANDSHAKE_LIMIT_S
+            session = await self._connect(target, deadline)
+        if session is None:
+            return None
+        session.last_used = self._loop.time()
+        return session.link
+
+    def open_ahead(self, target: model.Target) -> None:
+        """Open a link in the background, so that a first call finds it open."""
+        peer = self._peer(target.name)
+        if self._open_session(target.name) is None and peer.connecting is None:
+            self._start_connecting(peer, target)
+
+    def is_up(self, name: str) -> bool:
+        """Whether a link to a daemon is open and takes new calls."""
+        session = self._open_session(name)
+        return session is not None and not session.going_away
+
+    def drain(self) -> None:
+        """Refuse new calls from links and tell the peers."""
+        self.draining = True
+        for session in self._sessions.values():
+            session.refusing = True
+            session.link.send(messages.Goaway("stopping"))
+
+    def stop(self) -> None:
+        """Close all links."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for opened in list(self._sessions):
+            opened.close("stopping")
+
+    def dump(self) -> list[dict[str, Any]]:
+        """Return the state of all links for the debug listener."""
+        return [
+            {
+                "peer": session.link.peer.name if session.link.peer else "",
+                "outgoing": session.outgoing,
+                "incoming": session.incoming,
+                "going_away": session.going_away,
+                "buffered_bytes": session.link.buffered_bytes,
+            }
+            for session in self._sessions.values()
+        ]
+
+    def on_open(self, opened: link.Link) -> None:
+        """Handle a link whose peer is authenticated, in either direction."""
+        session = linkcalls.Session(opened, self._runner, self._service)
+        session.refusing = self.draining
+        self._sessions[opened] = session
+        if self.draining:
+            opened.send(messages.Goaway("stopping"))
+        if opened.peer is None or opened.peer.role != "daemon":
+            return
+        peer = self._peer(opened.peer.name)
+        if peer.session is None or not peer.session.link.is_open:
+            peer.session = session
+            self._report(opened.peer.name, True)
+
+    def on_message(self, opened: link.Link, message: messages.Message) -> None:
+        """Hand a message to the calls of its link or to the owner of records."""
+        session = self._sessions.get(opened)
+        if session is None:
+            return
+        if isinstance(
+            message,
+            messages.Intent
+            | messages.IntentAck
+            | messages.Record
+            | messages.RecordSync,
+        ):
+            session.last_used = self._loop.time()
+            if self.owner is not None:
+                self.owner.on_message(opened, message)
+            return
+        session.on_message(message)
+        if type(message) is messages.Goaway and opened.peer is not None:
+            self._report(opened.peer.name, False)
+
+    def on_close(self, opened: link.Link, reason: str) -> None:
+        """Resolve the calls of a lost link."""
+        session = self._sessions.pop(opened, None)
+        if session is None:
+            return
+        name = opened.peer.name if opened.peer else ""
+        logging.info("link to %s closed: %s", name, reason)
+        session.on_close(reason)
+        peer = self._peers.get(name)
+        if peer is not None and peer.session is session:
+            peer.session = None
+            self._report(name, False)
+
+    def _report(self, name: str, is_up: bool) -> None:
+        if self.on_link is not None:
+            self.on_link(self._loop.time(), name, is_up)
+
+    def _peer(self, name: str) -> _Peer:
+        peer = self._peers.get(name)
+        if peer is None:
+            peer = self._peers[name] = _Peer(name)
+        return peer
+
+    def _open_session(self, name: str) -> linkcalls.Session | None:
+        peer = self._peers.get(name)
+        if peer is None or peer.session is None or not peer.session.link.is_open:
+            return None
+        return peer.session
+
+    async def _connect(
+        self, target: model.Target, deadline: float
+    ) -> linkcalls.Session | None:
+        peer = self._peer(target.name)
+        if peer.connecting is None:
+            moved = peer.address != target.link_address
+            if self._loop.time() < peer.retry_at and not moved:
+                return None
+            self._start_connecting(peer, target)
+        assert peer.connecting is not None
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.shield(peer.connecting)
+        except TimeoutError:
+            return None
+        return self._open_session(target.name)
+
+    def _start_connecting(self, peer: _Peer, target: model.Target) -> None:
+        if peer.address != target.link_address:
+            peer.address = target.link_address
+            peer.pause_s = FIRST_PAUSE_S
+        peer.connecting = self._loop.create_task(self._open(peer))
+        self._tasks.add(peer.connecting)
+        peer.connecting.add_done_callback(self._tasks.discard)
+
+    async def _open(self, peer: _Peer) -> bool:
+        try:
+            connected = await link.connect(
+                peer.address, self._identity, self, self._tls
+            )
+            if isinstance(connected, result.Success):
+                opened = connected.unwrap()
+                if opened.peer is not None and opened.peer.name == peer.name:
+                    peer.pause_s = FIRST_PAUSE_S
+                    return True
+                # Another daemon has taken over the address of one that is gone.
+                opened.close(f"the daemon at {peer.address} is not {peer.name}")
+            peer.retry_at = self._loop.time() + peer.pause_s
+            peer.pause_s = min(LONGEST_PAUSE_S, 2 * peer.pause_s)
+            self._report(peer.name, False)
+            return False
+        finally:
+            peer.connecting = None
+
+    def _sweep(self) -> None:
+        """Close idle links and forget peers that are gone."""
+        now = self._loop.time()
+        for opened, session in list(self._sessions.items()):
+            if not session.is_busy and now - session.last_used > IDLE_LIMIT_S:
+                opened.close("idle")
+        for name, peer in list(self._peers.items()):
+            if (
+                peer.session is None
+                and peer.connecting is None
+                and now - peer.retry_at > IDLE_LIMIT_S
+            ):
+                del self._peers[name]
+        self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
