--- /dev/null
+++ b/toucanfold/forward.py
@@ -0,0 +1,336 @@
+"""Carries one call to a target: slot owner or pick, retries, hedging."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import AsyncGenerator, Callable
+from typing import Protocol
+
+from toucanfold import calls, model, retries, router
+
+# The daemon that runs a call ends it at the deadline and knows its outcome; this
+# time lets its answer arrive before the call is given up here as unknown.
+DEADLINE_GRACE_S = 0.05
+RETRY_AFTER_MS = 200
+# Waits for a new slot table after the owner of a slot stopped or moved.
+OWNER_TRIES = 6
+OWNER_PAUSE_S = 0.05
+
+
+class CallRunner(Protocol):
+    """Everything a call passes through; cancelling the task cancels the call."""
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Run a call and return its answer or refusal."""
+
+
+class Peers(Protocol):
+    """Links to other daemons.
+
+    When a link is lost after a call was sent, the answer is an unknown
+    ``target_failed`` that counts all of the call's attempts_left as spent.
+    """
+
+    async def run(self, target: model.Target, call: calls.Call) -> calls.Answer:
+        """Run a call at another daemon."""
+
+
+class Sender:
+    """Picks a target for a call and retries within allowance, budget and deadline."""
+
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_delays",
+        "_dispatcher",
+        "_name",
+        "_peers",
+        "_router",
+        "_state_of",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        chooser: router.Router,
+        budgets: retries.Budgets,
+        dispatcher: CallRunner,
+        peers: Peers,
+        state_of: Callable[[], model.FleetState],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._name = name
+        self._router = chooser
+        self._budgets = budgets
+        self._dispatcher = dispatcher
+        self._peers = peers
+        self._state_of = state_of
+        self._clock = clock
+        self._delays = retries.HedgeDelays()
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Run a call at a target that the router picks."""
+        allowance = retries.Allowance(call.attempts_left)
+        tried: set[str] = set()
+        target = self._router.pick(self._clock(), call, frozenset())
+        if target is None:
+            return _no_target(call)
+        while True:
+            tried.add(target.name)
+            answer = await self._try(call, target, allowance, tried)
+            now = self._clock()
+            if not allowance.may_retry(now, call, answer, self._budgets):
+                break
+            target = self._router.pick(now, call, frozenset(tried))
+            if target is None:
+                allowance.undo(call, self._budgets)
+                break
+        if answer.refusal is None and answer.status < 500:
+            self._budgets.on_success(now, call.service)
+        return allowance.finish(answer)
+
+    async def _try(
+        self,
+        call: calls.Call,
+        target: model.Target,
+        allowance: retries.Allowance,
+        tried: set[str],
+    ) -> calls.Answer:
+        delay = self._hedge_delay(call) if allowance.left > 0 else None
+        if delay is not None:
+            return await self._try_hedged(call, target, allowance, tried, delay)
+        reserved = allowance.left
+        answer = await self._send(call, target, reserved)
+        allowance.on_answer(answer, reserved)
+        return answer
+
+    async def _try_hedged(
+        self,
+        call: calls.Call,
+        target: model.Target,
+        allowance: retries.Allowance,
+        tried: set[str],
+        delay: float,
+    ) -> calls.Answer:
+        """Send a second attempt after the delay and return the better answer.
+
+        One attempt is held back from the first try to pay for the second.
+        """
+        reserved = allowance.left - 1
+        running = {asyncio.create_task(self._send(call, target, reserved)): reserved}
+        try:
+            await asyncio.wait(running, timeout=delay)
+            if not any(task.done() for task in running):
+                second = self._pick_hedge(call, allowance, tried)
+                if second is not None:
+                    task = asyncio.create_task(self._send(call, second, 0))
+                    running[task] = 0
+            return await _first_answer(running, allowance)
+        finally:
+            for task, share in running.items():
+                if task.cancel():
+                    allowance.on_lost(share)
+
+    def _pick_hedge(
+        self, call: calls.Call, allowance: retries.Allowance, tried: set[str]
+    ) -> model.Target | None:
+        now = self._clock()
+        if now >= call.deadline or not allowance.take(now, call, self._budgets):
+            return None
+        target = self._router.pick(now, call, frozenset(tried))
+        if target is None:
+            allowance.undo(call, self._budgets)
+            return None
+        tried.add(target.name)
+        return target
+
+    def _hedge_delay(self, call: calls.Call) -> float | None:
+        if not call.idempotent or not call.is_replayable:
+            return None
+        state = self._state_of()
+        route = state.routes.get(call.route)
+        profile = state.profiles.get(route.profile) if route else None
+        if profile is None or not profile.hedging:
+            return None
+        return self._delays.delay(call.route)
+
+    async def _send(
+        self, call: calls.Call, target: model.Target, reserved: int
+    ) -> calls.Answer:
+        name = target.name
+        sent = dataclasses.replace(call, slot=-1, attempts_left=reserved)
+        started_at = self._clock()
+        self._router.on_start(started_at, name, router.call_bytes(call))
+        limit = max(0.0, call.deadline - started_at) + DEADLINE_GRACE_S
+        try:
+            async with asyncio.timeout(limit):
+                if name == self._name:
+                    answer = await self._dispatcher.run(sent)
+                else:
+                    answer = await self._peers.run(target, sent)
+        except TimeoutError:
+            answer = _lost(call, reserved)
+        except asyncio.CancelledError:
+            self._router.on_cancel(self._clock(), name)
+            raise
+        except Exception:
+            self._router.on_failure(self._clock(), name)
+            raise
+        now = self._clock()
+        self._router.on_answer(now, name, answer, now - started_at)
+        if answer.refusal is None:
+            self._delays.on_answer(call.route, now - started_at)
+        return answer
+
+
+class Forwarder:
+    """Sends recorded calls to the owner of their slot and all others by pick."""
+
+    __slots__ = ("_clock", "_name", "_owner", "_peers", "_router", "_sender", "_state")
+
+    def __init__(
+        self,
+        name: str,
+        sender: Sender,
+        owner: CallRunner,
+        peers: Peers,
+        chooser: router.Router,
+        state_of: Callable[[], model.FleetState],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._name = name
+        self._sender = sender
+        self._owner = owner
+        self._peers = peers
+        self._router = chooser
+        self._state = state_of
+        self._clock = clock
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Run a call of a caller or of the own target."""
+        if call.idempotent or not call.idempotency_key:
+            return await self._sender.run(call)
+        return await self._run_owned(call)
+
+    async def _run_owned(self, call: calls.Call) -> calls.Answer:
+        """Send the call to its owner, again if that is safe and may help.
+
+        A resend of a recorded call cannot run twice: the owner joins or answers it
+        from the record. It carries no allowance, so it cannot add attempts.
+        """
+        allowance = retries.Allowance(call.attempts_left)
+        pause = OWNER_PAUSE_S
+        answer = await self._try_owner(call, allowance)
+        for _ in range(OWNER_TRIES - 1):
+            if not _may_ask_again(call, answer):
+                break
+            if self._clock() + pause >= call.deadline:
+                break
+            await asyncio.sleep(pause)
+            pause *= 2
+            answer = await self._try_owner(call, allowance)
+        return allowance.finish(answer)
+
+    async def _try_owner(
+        self, call: calls.Call, allowance: retries.Allowance
+    ) -> calls.Answer:
+        number = model.slot_of(call.account, call.idempotency_key)
+        slot = self._state().slots.get((call.service, number))
+        if slot is None:
+            return _no_target(call)
+        reserved = allowance.left
+        owned = dataclasses.replace(
+            call, slot=number, slot_epoch=slot.epoch, attempts_left=reserved
+        )
+        answer = await self._ask(owned, slot)
+        allowance.on_answer(answer, reserved)
+        return answer
+
+    async def _ask(self, call: calls.Call, slot: model.Slot) -> calls.Answer:
+        if slot.owner == self._name:
+            return await self._owner.run(call)
+        target = self._state().targets.get(slot.owner)
+        if target is None or target.incarnation != slot.owner_incarnation:
+            return calls.refuse(
+                calls.Kind.NO_TARGET,
+                f"the owner of slot {slot.number} of {call.service} is being replaced",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        now = self._clock()
+        self._router.on_start(now, target.name, router.call_bytes(call))
+        try:
+            async with asyncio.timeout(call.deadline - now + DEADLINE_GRACE_S):
+                return await self._peers.run(target, call)
+        except TimeoutError:
+            return _lost(call, call.attempts_left)
+        finally:
+            # The answer's limit is that of the target which ran the call, perhaps
+            # another one, so nothing is learnt about the owner's own target.
+            self._router.on_cancel(self._clock(), target.name)
+
+
+class Local:
+    """Serves calls of other daemons: recorded ones as owner, others at the target."""
+
+    __slots__ = ("_dispatcher", "_owner")
+
+    def __init__(self, owner: CallRunner, dispatcher: CallRunner):
+        self._owner = owner
+        self._dispatcher = dispatcher
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Run a call that arrived over a link."""
+        runner = self._owner if call.slot >= 0 else self._dispatcher
+        return await runner.run(call)
+
+
+async def _first_answer(
+    running: dict[asyncio.Task[calls.Answer], int], allowance: retries.Allowance
+) -> calls.Answer:
+    """Return the first answer of a target, else the last refusal."""
+    waiting = set(running)
+    while True:
+        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        answers = []
+        for task in done:
+            answers.append(task.result())
+            allowance.on_answer(answers[-1], running[task])
+        answers.sort(key=lambda answer: answer.refusal is not None)
+        for unused in answers[1:]:
+            await _discard(unused)
+        if answers[0].refusal is None or not waiting:
+            return answers[0]
+
+
+async def _discard(answer: calls.Answer) -> None:
+    """Close the body of an answer that nobody reads."""
+    if isinstance(answer.body_stream, AsyncGenerator):
+        await answer.body_stream.aclose()
+
+
+def _may_ask_again(call: calls.Call, answer: calls.Answer) -> bool:
+    """Whether the owner was not reached, is stopping, or its link was lost."""
+    refusal = answer.refusal
+    if refusal is None or answer.retried or not call.is_replayable:
+        return False
+    if answer.outcome is calls.Outcome.UNKNOWN:
+        return refusal.kind is calls.Kind.TARGET_FAILED
+    return retries.is_free(answer)
+
+
+def _lost(call: calls.Call, reserved: int) -> calls.Answer:
+    answer = calls.refuse(
+        calls.Kind.DEADLINE_EXCEEDED,
+        f"{call.service} did not answer in time",
+        calls.Outcome.UNKNOWN,
+    )
+    answer.attempts_spent = reserved
+    return answer
+
+
+def _no_target(call: calls.Call) -> calls.Answer:
+    return calls.refuse(
+        calls.Kind.NO_TARGET,
+        f"no target of {call.service} can take the call",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/toucanfold/router.py
@@ -0,0 +1,360 @@
+"""Choice of the target of a call: nearness, load, ejection, drain, region budget."""
+
+import hashlib
+import random
+
+from toucanfold import balancers, calls, candidates, kernel, model
+
+EJECTION_S = 1.0
+MAX_EJECTION_S = 30.0
+# Non-idempotent calls serve as probes only when nothing else came for this long.
+PROBE_PATIENCE_S = 1.0
+# Assumed size of a streamed body without a Content-Length.
+UNKNOWN_BODY_BYTES = 64 * 1024
+CALL_OVERHEAD_BYTES = 512
+
+_FAILED_KINDS = (calls.Kind.TARGET_FAILED, calls.Kind.NO_TARGET)
+
+
+class RegionBudget:
+    """Token bucket of the bytes that this daemon may send to other regions."""
+
+    __slots__ = ("_at", "_rate", "_tokens", "bytes_sent")
+
+    def __init__(self, bytes_per_s: float):
+        self._rate = float(bytes_per_s)
+        self._tokens = self._rate
+        self._at: float | None = None
+        self.bytes_sent = 0
+
+    def reserve(self, now: float, size: int) -> bool:
+        """Spend tokens for a call, only if there are enough."""
+        self._refill(now)
+        if size > self._tokens:
+            return False
+        self._tokens -= size
+        return True
+
+    def charge(self, now: float, size: int) -> None:
+        """Spend tokens for bytes that cannot be held back, if need be as a debt."""
+        self._refill(now)
+        self._tokens -= size
+
+    def _refill(self, now: float) -> None:
+        if self._at is not None:
+            passed = max(0.0, now - self._at)
+            self._tokens = min(self._rate, self._tokens + passed * self._rate)
+        self._at = now
+
+
+class Router:
+    """Directory view of a daemon and what it learnt about each target."""
+
+    __slots__ = (
+        "_balancers",
+        "_by_name",
+        "_data_centre",
+        "_is_first",
+        "_name",
+        "_region",
+        "_reserved",
+        "_rng",
+        "_services",
+        "_state",
+        "budget",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        data_centre: str,
+        region_budget: int,
+        rng: random.Random,
+    ):
+        self.budget = RegionBudget(region_budget)
+        self._name = name
+        self._region = region
+        self._data_centre = data_centre
+        self._rng = rng
+        self._state = model.FleetState()
+        self._is_first = True
+        self._services: dict[str, candidates.Service] = {}
+        self._by_name: dict[str, candidates.Candidate] = {}
+        self._balancers: dict[tuple[str, str], balancers.Balancer] = {}
+        self._reserved: dict[str, int] = {}
+
+    def update(self, now: float, state: model.FleetState) -> None:
+        """Take a new fleet state; targets that are not up get nothing more."""
+        self._state = state
+        found: dict[str, list[candidates.Candidate]] = {}
+        by_name = {}
+        for target in state.targets.values():
+            if target.state == "up":
+                candidate = self._candidate(now, target)
+                by_name[target.name] = candidate
+                found.setdefault(target.service, []).append(candidate)
+        self._by_name = by_name
+        self._is_first = False
+        for name in set(self._services) - set(found):
+            del self._services[name]
+        for name, items in found.items():
+            items.sort(key=self._order)
+            service = self._services.setdefault(name, candidates.Service())
+            service.replace({item.target.name: item for item in items})
+
+    def pick(
+        self, now: float, call: calls.Call, exclude: frozenset[str] = frozenset()
+    ) -> model.Target | None:
+        """Choose a target; on_start and on_answer, on_failure or on_cancel follow."""
+        service = self._services.get(call.service)
+        if service is None:
+            return None
+        size = call_bytes(call)
+        if now >= service.next_probe:
+            probe = self._pick_probe(now, service, call, exclude, size)
+            if probe is not None:
+                return probe.target
+        if call.slot >= 0:
+            own = service.candidates.get(self._name)
+            if own is not None and _may_prefer(now, own, exclude):
+                return own.target
+        chosen = self._pick_by_tier(now, service, call, exclude, size)
+        return None if chosen is None else chosen.target
+
+    def on_start(self, now: float, name: str, size_bytes: int) -> None:
+        """Count a call that is sent to a target, and its bytes between regions."""
+        candidate = self._by_name.get(name)
+        if candidate is None:
+            return
+        candidate.in_flight += 1
+        if candidate.tier == candidates.OTHER_REGION:
+            self.budget.bytes_sent += size_bytes
+            reserved = self._reserved.pop(name, 0)
+            if size_bytes > reserved:
+                self.budget.charge(now, size_bytes - reserved)
+
+    def on_answer(
+        self, now: float, name: str, answer: calls.Answer, seconds: float
+    ) -> None:
+        """Learn limit, load, refusals and failures from an answer."""
+        candidate = self._finish(name)
+        if candidate is None:
+            return
+        if candidate.tier == candidates.OTHER_REGION:
+            self.budget.charge(now, len(answer.body))
+        if answer.limit > 0:
+            candidate.limit = answer.limit
+            candidate.others = max(0, answer.in_flight - candidate.in_flight)
+            candidate.others_at = now
+        refusal = answer.refusal
+        if refusal is None:
+            self._on_success(now, candidate)
+        elif refusal.kind in _FAILED_KINDS:
+            self._count_failure(now, candidate)
+        elif answer.outcome is calls.Outcome.UNKNOWN:
+            self._on_timeout(now, candidate)
+        else:
+            if refusal.kind is calls.Kind.OVERLOADED:
+                candidate.refused_at = now
+            self._readmit(candidate)
+
+    def on_failure(self, now: float, name: str) -> None:
+        """Count a call that failed without an answer of the target's daemon."""
+        candidate = self._finish(name)
+        if candidate is not None:
+            self._count_failure(now, candidate)
+
+    def on_cancel(self, now: float, name: str) -> None:
+        """Forget a call whose caller went away; it says nothing about the target."""
+        candidate = self._finish(name)
+        if candidate is not None:
+            candidate.probing_since = float("-inf")
+            self._services[candidate.target.service].schedule_probe()
+
+    def on_link(self, now: float, name: str, is_up: bool) -> None:
+        """Eject a target whose link was lost; an idle link that closes is not lost."""
+        candidate = self._by_name.get(name)
+        if candidate is None:
+            return
+        if not is_up:
+            candidate.silent = True
+            if not candidate.is_ejected:
+                self._eject(now, candidate)
+        elif candidate.silent:
+            self._readmit(candidate)
+
+    def describe(self, now: float) -> list[dict[str, object]]:
+        """Return what is known about each candidate, for the debug command."""
+        return [
+            {
+                "target": item.target.name,
+                "service": item.target.service,
+                "tier": item.tier,
+                "in_flight": item.in_flight,
+                "limit": item.limit,
+                "weight": round(item.weight(now), 2),
+                "ejected": item.is_ejected,
+                "full": item.is_full(now),
+            }
+            for item in self._by_name.values()
+        ]
+
+    def _candidate(self, now: float, target: model.Target) -> candidates.Candidate:
+        known = self._by_name.get(target.name)
+        if known is not None and _is_same(known.target, target):
+            known.target = target
+            return known
+        # Targets of the first state are as warm as this daemon can know.
+        since = float("-inf") if self._is_first else now
+        return candidates.Candidate(
+            target, self._tier(target), target.name == self._name, since
+        )
+
+    def _tier(self, target: model.Target) -> int:
+        if target.region != self._region:
+            return candidates.OTHER_REGION
+        is_near = target.data_centre == self._data_centre
+        return candidates.OWN_DATA_CENTRE if is_near else candidates.SAME_REGION
+
+    def _order(self, candidate: candidates.Candidate) -> tuple[int, bool, bytes]:
+        text = f"{self._name}\0{candidate.target.name}".encode()
+        digest = hashlib.blake2b(text, digest_size=8).digest()
+        return candidate.tier, not candidate.is_own, digest
+
+    def _pick_probe(
+        self,
+        now: float,
+        service: candidates.Service,
+        call: calls.Call,
+        exclude: frozenset[str],
+        size: int,
+    ) -> candidates.Candidate | None:
+        patience = 0.0 if call.idempotent else PROBE_PATIENCE_S
+        for candidate in service.ejected:
+            if now < candidate.probe_due + patience:
+                continue
+            if candidate.target.name in exclude:
+                continue
+            if self._admit(now, candidate, size):
+                candidate.probing_since = now
+                service.schedule_probe()
+                return candidate
+        return None
+
+    def _pick_by_tier(
+        self,
+        now: float,
+        service: candidates.Service,
+        call: calls.Call,
+        exclude: frozenset[str],
+        size: int,
+    ) -> candidates.Candidate | None:
+        tiers = service.tiers(exclude)
+        balancer = self._balancer(call)
+        for tier in tiers:
+            open_ones = [item for item in tier if not item.is_full(now)]
+            chosen = balancer.pick(now, open_ones, self._rng)
+            if chosen is not None and self._admit(now, chosen, size):
+                return chosen
+        # All are full: the nearest daemon decides by class, which this one cannot.
+        for tier in tiers:
+            chosen = balancer.pick(now, tier, self._rng)
+            if chosen is not None and self._admit(now, chosen, size):
+                return chosen
+        return None
+
+    def _admit(self, now: float, candidate: candidates.Candidate, size: int) -> bool:
+        if candidate.tier != candidates.OTHER_REGION:
+            return True
+        if not self.budget.reserve(now, size):
+            return False
+        self._reserved[candidate.target.name] = size
+        return True
+
+    def _balancer(self, call: calls.Call) -> balancers.Balancer:
+        route = self._state.routes.get(call.route)
+        profile = self._state.profiles.get(route.profile) if route else None
+        name = profile.balancer if profile else "nearest"
+        found = self._balancers.get((call.service, name))
+        if found is None:
+            made = kernel.create("balancer", name)
+            found = made.value_or(None) or balancers.PickOfTwo()
+            self._balancers[call.service, name] = found
+        return found
+
+    def _finish(self, name: str) -> candidates.Candidate | None:
+        candidate = self._by_name.get(name)
+        if candidate is not None:
+            candidate.in_flight = max(0, candidate.in_flight - 1)
+        return candidate
+
+    def _on_success(self, now: float, candidate: candidates.Candidate) -> None:
+        self._readmit(candidate)
+        candidate.failures = 0
+        candidate.ejections = 0
+        candidate.failing_since = float("inf")
+        candidate.succeeded_at = now
+
+    def _on_timeout(self, now: float, candidate: candidates.Candidate) -> None:
+        """Count a timeout as a failure only if the service works elsewhere.
+
+        When a deeper service is slow, calls of all targets time out; ejecting them
+        would only take capacity away.
+        """
+        candidate.failing_since = min(candidate.failing_since, now)
+        others = self._services[candidate.target.service].candidates.values()
+        if any(item.succeeded_at > candidate.failing_since for item in others):
+            self._count_failure(now, candidate)
+        else:
+            self._readmit(candidate)
+
+    def _readmit(self, candidate: candidates.Candidate) -> None:
+        candidate.probing_since = float("-inf")
+        if candidate.is_ejected:
+            candidate.end_ejection()
+            self._services[candidate.target.service].changed()
+
+    def _count_failure(self, now: float, candidate: candidates.Candidate) -> None:
+        candidate.failures += 1
+        if candidate.is_ejected:
+            if candidate.probing_since > float("-inf"):
+                self._eject(now, candidate)
+        elif candidate.failures >= candidates.FAILURES_TO_EJECT:
+            self._eject(now, candidate)
+
+    def _eject(self, now: float, candidate: candidates.Candidate) -> None:
+        service = self._services[candidate.target.service]
+        ejected = len(service.ejected)
+        if not candidate.is_ejected and ejected + 1 > len(service.candidates) // 2:
+            return
+        seconds = min(MAX_EJECTION_S, EJECTION_S * 2**candidate.ejections)
+        candidate.ejections = min(candidate.ejections + 1, 16)
+        candidate.ejected_until = now + seconds
+        candidate.probing_since = float("-inf")
+        service.changed()
+
+
+def call_bytes(call: calls.Call) -> int:
+    """Return about how many bytes a call sends over a link."""
+    size = CALL_OVERHEAD_BYTES + len(call.path) + len(call.body)
+    length = 0 if call.body_stream is None else UNKNOWN_BODY_BYTES
+    for name, value in call.headers:
+        size += len(name) + len(value) + 4
+        if length and name.lower() == b"content-length" and value.isdigit():
+            length = int(value)
+    return size + length
+
+
+def _may_prefer(now: float, own: candidates.Candidate, exclude: frozenset[str]) -> bool:
+    is_usable = not own.is_ejected and own.target.name not in exclude
+    return is_usable and not own.is_full(now)
+
+
+def _is_same(known: model.Target, new: model.Target) -> bool:
+    return (
+        known.incarnation == new.incarnation
+        and known.service == new.service
+        and known.region == new.region
+        and known.data_centre == new.data_centre
+    )
