--- /dev/null
+++ b/tests/test_loadgen.py
@@ -0,0 +1,53 @@
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from toucanfold import loadgen
+
+
+def plan(seed: int = 1, **fields) -> loadgen.Plan:
+    return loadgen.Plan(
+        seed,
+        10.0,
+        ["127.0.0.1:1", "127.0.0.1:2"],
+        [loadgen.Sender("a", "ka", 40.0), loadgen.Sender("b", "kb", 10.0)],
+        [
+            loadgen.RequestKind("look", "parts", "GET", "/look", 0.8),
+            loadgen.RequestKind("book", "parts", "POST", "/book", 0.2, critical=True),
+        ],
+        **fields,
+    )
+
+
+@hypothesis.given(strategies.integers(0, 1000))
+def test_schedule_depends_on_the_plan_alone(seed):
+    """Both policies of a comparison must meet the same requests."""
+    made = plan(seed)
+    again = loadgen.Plan.from_json(dataclasses.asdict(made))
+    shots = loadgen.schedule(made)
+    assert shots == loadgen.schedule(again)
+    assert [shot.number for shot in shots] == list(range(len(shots)))
+    assert shots != loadgen.schedule(plan(seed + 1))
+
+
+def test_phases_multiply_the_rate_of_their_account_only():
+    """A surge of one account must leave the others' arrivals as they are."""
+    calm = loadgen.schedule(plan())
+    surge = loadgen.schedule(plan(phases=[loadgen.Phase(2, 7, 5.0, "a")]))
+
+    def count(shots, sender, start_s, end_s):
+        return sum(s.sender == sender and start_s <= s.at_s < end_s for s in shots)
+
+    assert count(calm, 1, 0, 10) == count(surge, 1, 0, 10)
+    assert 3.5 < count(surge, 0, 2, 7) / count(calm, 0, 2, 7) < 6.5
+    assert [s for s in surge if s.at_s < 2] == [s for s in calm if s.at_s < 2]
+
+
+def test_summary_reports_a_late_generator():
+    """A measurement that the generator itself limited must say so."""
+    fields = (0.1, 0, 0, 200, "", "ran", 0.1, 1, 0.05)
+    late = [loadgen.Record(n, *fields, 0.2) for n in range(100)]
+    prompt = [loadgen.Record(n, *fields, 0.001) for n in range(100)]
+    assert loadgen.summary(late, 1, 1)["self_limited"]
+    assert not loadgen.summary(prompt, 1, 1)["self_limited"]
--- a/toucanfold/cmdline.py
+++ b/toucanfold/cmdline.py
@@ -21,6 +21,7 @@
     "bench": ("toucanfold.bench", "measure scenarios against a naive proxy"),
     "target": ("toucanfold.standin", "run a stand-in target"),
     "load": ("toucanfold.loadgen", "send a planned load and time the answers"),
+    "naive": ("toucanfold.naive", "run the naive proxy of the bench"),
 }
 
 
--- a/toucanfold/exceptions.py
+++ b/toucanfold/exceptions.py
@@ -85,3 +85,54 @@
         super().__init__(message, remedy)
         self.status = status
         self.kind = kind
+
+
+class CallError(ToucanfoldError):
+    """A call through the caller's library failed; says whether it ran."""
+
+    def __init__(
+        self, message: str, remedy: str, kind: str, outcome: str, status: int = 0
+    ):
+        super().__init__(message, remedy)
+        self.kind = kind
+        self.outcome = outcome
+        self.status = status
+        self.retry_after_s = 0.0
+        self.request_id = ""
+        self.attempts = 1
+
+
+class ConnectionFailedError(CallError):
+    """No entry address accepted a connection, so the call did not run."""
+
+
+class ConnectionLostError(CallError):
+    """The connection ended before the answer, so the outcome is unknown."""
+
+
+class CallDeadlineError(CallError):
+    """The deadline passed before an answer came."""
+
+
+class RefusedError(CallError):
+    """A daemon refused the call."""
+
+
+class KeyRefusedError(RefusedError):
+    """The key is missing, unknown or withdrawn."""
+
+
+class RateExceededError(RefusedError):
+    """The client account is above its rate and burst."""
+
+
+class OverloadedError(RefusedError):
+    """No capacity is free now; the call may be retried later."""
+
+
+class OutcomeUnknownError(RefusedError):
+    """The call may have run; look up its result before sending it anew."""
+
+
+class TargetFailedError(RefusedError):
+    """The target failed or answered with an error."""
--- /dev/null
+++ b/toucanfold/loadgen.py
@@ -0,0 +1,314 @@
+"""Open-loop load generator: a seeded schedule, timed by the caller's own clock."""
+
+import asyncio
+import bisect
+import dataclasses
+import gc
+import json
+import random
+import time
+from typing import Any
+
+from absl import flags
+from returns import result
+
+from toucanfold import client, cmdline, exceptions
+
+# A generator that sends later than this is itself the limit of the measurement.
+LATE_LIMIT_S = 0.05
+END_GRACE_S = 1.0
+
+FLAGS = flags.FlagValues()
+flags.DEFINE_string("plan", "", "JSON file with the plan.", flag_values=FLAGS)
+flags.DEFINE_string(
+    "output", "", "File for the records; a summary is printed.", flag_values=FLAGS
+)
+flags.DEFINE_integer("part", 0, "Part of the schedule to send.", flag_values=FLAGS)
+flags.DEFINE_integer("parts", 1, "Number of parts.", flag_values=FLAGS)
+flags.DEFINE_float(
+    "start_at", 0.0, "Start on the monotonic clock; 0 is now.", flag_values=FLAGS
+)
+TEXT = "Sends a planned load through the entries of a fleet and times the answers."
+
+
+@dataclasses.dataclass(slots=True)
+class Phase:
+    """A time span in which one account, or all (empty), send at a factor."""
+
+    start_s: float
+    end_s: float
+    factor: float
+    account: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Sender:
+    """A client account of the plan with its base rate (requests/s)."""
+
+    name: str
+    key: str
+    rate: float
+
+
+@dataclasses.dataclass(slots=True)
+class RequestKind:
+    """One kind of request; the share is its part of every account's requests."""
+
+    name: str
+    service: str
+    method: str
+    path: str
+    share: float
+    timeout_ms: int = 2500
+    critical: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Everything that determines the schedule and how it is sent."""
+
+    seed: int
+    duration_s: float
+    entries: list[str]
+    senders: list[Sender]
+    kinds: list[RequestKind]
+    phases: list[Phase] = dataclasses.field(default_factory=list)
+    retries: int = 2
+    client_delay_s: float = 0.0
+
+    @classmethod
+    def from_json(cls, data: dict[str, Any]) -> "Plan":
+        """Build a plan from what dataclasses.asdict returned."""
+        fields = dict(data)
+        fields["senders"] = [Sender(**item) for item in data["senders"]]
+        fields["kinds"] = [RequestKind(**item) for item in data["kinds"]]
+        fields["phases"] = [Phase(**item) for item in data.get("phases", [])]
+        return cls(**fields)
+
+
+@dataclasses.dataclass(slots=True)
+class Shot:
+    """One planned request: seconds after the start, and indexes into the plan."""
+
+    at_s: float
+    number: int
+    sender: int
+    kind: int
+    entry: int
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What became of one request; times in seconds, latency from the planned send."""
+
+    number: int
+    at_s: float
+    sender: int
+    kind: int
+    status: int
+    error: str
+    outcome: str
+    latency_s: float
+    attempts: int
+    target_s: float
+    late_s: float
+
+    @property
+    def is_good(self) -> bool:
+        """Whether the caller got a whole successful answer."""
+        return 200 <= self.status < 300 and not self.error
+
+
+def factor_at(phases: list[Phase], account: str, now_s: float) -> float:
+    """Return the product of the factors that apply to an account at a time."""
+    factor = 1.0
+    for phase in phases:
+        if phase.start_s <= now_s < phase.end_s and phase.account in ("", account):
+            factor *= phase.factor
+    return factor
+
+
+def _arrivals(plan: Plan, sender: Sender, rng: random.Random) -> list[float]:
+    """Return Poisson arrivals; unit-rate gaps are stretched by the present rate."""
+    edges = sorted({p.start_s for p in plan.phases} | {p.end_s for p in plan.phases})
+    times: list[float] = []
+    now_s = 0.0
+    while True:
+        need = rng.expovariate(1.0)
+        while True:
+            rate = sender.rate * factor_at(plan.phases, sender.name, now_s)
+            index = bisect.bisect_right(edges, now_s)
+            end_s = edges[index] if index < len(edges) else float("inf")
+            if rate > 0 and now_s + need / rate < end_s:
+                now_s += need / rate
+                break
+            if end_s == float("inf"):
+                return times
+            need -= (end_s - now_s) * rate
+            now_s = end_s
+        if now_s >= plan.duration_s:
+            return times
+        times.append(now_s)
+
+
+def schedule(plan: Plan) -> list[Shot]:
+    """Return the shots in order of time; equal plans give equal schedules."""
+    shots = []
+    weights = [kind.share for kind in plan.kinds]
+    for index, sender in enumerate(plan.senders):
+        rng = random.Random(f"{plan.seed}/{sender.name}")
+        # Choices have their own generator so that a phase does not change them.
+        choices = random.Random(f"{plan.seed}/{sender.name}/choices")
+        for at_s in _arrivals(plan, sender, rng):
+            kind = choices.choices(range(len(plan.kinds)), weights)[0]
+            entry = choices.randrange(len(plan.entries))
+            shots.append(Shot(at_s, 0, index, kind, entry))
+    shots.sort(key=lambda shot: shot.at_s)
+    for number, shot in enumerate(shots):
+        shot.number = number
+    return shots
+
+
+class Generator:
+    """Sends a part of a schedule and keeps a record of each request."""
+
+    def __init__(self, plan: Plan, run_id: str = "run"):
+        self.records: list[Record] = []
+        self._plan = plan
+        self._run_id = run_id
+        retries = client.Retries(plan.retries, has_budget=False)
+        self._clients = [
+            client.Client(
+                plan.entries,
+                sender.key,
+                retries,
+                random.Random(f"{plan.seed}/client/{sender.name}"),
+            )
+            for sender in plan.senders
+        ]
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, shots: list[Shot], start_at: float) -> None:
+        """Send every shot at its time and wait for the last answers."""
+        loop = asyncio.get_running_loop()
+        for shot in shots:
+            delay_s = start_at + shot.at_s - loop.time()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            task = loop.create_task(self._send(shot, start_at))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        longest_s = (
+            max((kind.timeout_ms for kind in self._plan.kinds), default=0) / 1000
+        )
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=longest_s + END_GRACE_S)
+        for each in self._clients:
+            each.close()
+
+    async def _send(self, shot: Shot, start_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        planned_at = start_at + shot.at_s
+        late_s = loop.time() - planned_at
+        kind = self._plan.kinds[shot.kind]
+        delay_s = self._plan.client_delay_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        left_s = planned_at + kind.timeout_ms / 1000 - delay_s - loop.time()
+        answered = await self._clients[shot.sender].call(
+            kind.service,
+            kind.method,
+            kind.path,
+            b"{}" if kind.method == "POST" else b"",
+            timeout_s=max(0.001, left_s),
+            headers=[(b"Bench-Request", f"{self._run_id}-{shot.number}".encode())],
+            entry=shot.entry,
+        )
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        self._record(shot, answered, loop.time() - planned_at, late_s)
+
+    def _record(
+        self,
+        shot: Shot,
+        answered: result.Result[client.Reply, exceptions.CallError],
+        latency_s: float,
+        late_s: float,
+    ) -> None:
+        status, error, outcome, target_s = 0, "", "ran", 0.0
+        if isinstance(answered, result.Success):
+            reply = answered.unwrap()
+            status, attempts = reply.status, reply.attempts
+            target_s = float(reply.header(b"standin-seconds") or 0)
+        else:
+            failure = answered.failure()
+            status, attempts = failure.status, failure.attempts
+            error, outcome = failure.kind, failure.outcome
+        # An answer after the deadline is of no use to the caller.
+        if not error and latency_s > self._plan.kinds[shot.kind].timeout_ms / 1000:
+            error = "late"
+        self.records.append(
+            Record(
+                shot.number,
+                shot.at_s,
+                shot.sender,
+                shot.kind,
+                status,
+                error,
+                outcome,
+                latency_s,
+                attempts,
+                target_s,
+                late_s,
+            )
+        )
+
+
+def summary(records: list[Record], cpu_s: float, duration_s: float) -> dict[str, Any]:
+    """Return counts, and whether the generator itself was the limit."""
+    late = sorted(record.late_s for record in records) or [0.0]
+    late_p99_s = late[int(0.99 * (len(late) - 1))]
+    return {
+        "sent": len(records),
+        "good": sum(record.is_good for record in records),
+        "late_p99_ms": round(late_p99_s * 1000, 3),
+        "cpu_share": round(cpu_s / max(duration_s, 0.001), 3),
+        "self_limited": late_p99_s > LATE_LIMIT_S,
+    }
+
+
+def write_records(path: str, records: list[Record], facts: dict[str, Any]) -> None:
+    """Write records as lists of their fields, with the summary."""
+    rows = [dataclasses.astuple(record) for record in records]
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump({"summary": facts, "records": rows}, file)
+
+
+def read_records(path: str) -> tuple[list[Record], dict[str, Any]]:
+    """Read what write_records wrote."""
+    with open(path, encoding="utf-8") as file:
+        data = json.load(file)
+    return [Record(*row) for row in data["records"]], data["summary"]
+
+
+def main(arguments: list[str]) -> int:
+    """Send a part of a plan and print a summary."""
+    cmdline.parse(FLAGS, "load", arguments, TEXT)
+    if not FLAGS.plan:
+        return cmdline.fail("no plan is given", "name a JSON file with --plan")
+    with open(FLAGS.plan, encoding="utf-8") as file:
+        plan = Plan.from_json(json.load(file))
+    shots = schedule(plan)[FLAGS.part :: FLAGS.parts]
+    # Pauses of the garbage collector would count as late sends and slow answers.
+    gc.freeze()
+    gc.disable()
+    generator = Generator(plan, f"{plan.seed}")
+    start_at = FLAGS.start_at or time.monotonic()
+    began = time.process_time()
+    asyncio.run(generator.run(shots, start_at))
+    cpu_s = time.process_time() - began
+    facts = summary(generator.records, cpu_s, plan.duration_s)
+    if FLAGS.output:
+        write_records(FLAGS.output, generator.records, facts)
+    print(json.dumps(facts))
+    return 0
