Run control instances as processes on the replicated log

Cause: the control plane ran on a stand-in of the replica only. Change: the composition root opens the data folder and runs the replica; links between members follow the membership; the API changes members with a forecast and hands over the lead. A daemon confirms an applied change at once instead of at its next ping, at most every 100 ms.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,14 +1,17 @@
 """Helpers shared by the tests."""
 
 import asyncio
+import signal
 import socket
+import subprocess
+import sys
 from collections.abc import Coroutine
 from typing import Any
 
 import hypothesis
 from returns import result
 
-from toucanfold import config, exceptions, link, messages, watch
+from toucanfold import config, exceptions, kernel, link, members, messages, watch
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=60, print_blob=True
@@ -54,20 +57,33 @@
     def on_message(self, sender, message):
         pass
 
+    async def run(self):
+        await asyncio.Event().wait()
+
     async def change_members(self, change):
         return result.Success(self.commit_index)
 
+    def forecast(self, change):
+        return members.Forecast(1, 1, 1)
+
     async def transfer_leadership(self):
         pass
 
     def status(self):
-        return {"name": self.name, "leader": self.leader, "term": self.term}
+        return {"name": self.name, "leader": self.leader, "members": []}
 
 
 SECRET = b"fleet secret of the tests"
 OPERATOR = ("op", "an operator's secret")
 
 
+def plain_profile(name):
+    """Return a profile whose plug-ins are registered in this process."""
+    kinds = ("limiter", "admission", "balancer")
+    names = {kind: kernel.names(kind)[:1] for kind in kinds}
+    return {"name": name, **{kind: found[0] for kind, found in names.items() if found}}
+
+
 def control_settings(folder, name="c1", members=None):
     """Return settings of a control instance with free ports."""
     address = members[name] if members else free_address()
@@ -108,3 +124,28 @@
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
+
+
+class ControlProcess:
+    """A control instance as a process of its own."""
+
+    def __init__(self, folder, name, members):
+        self.settings = control_settings(folder, name, members)
+        self.admin = self.settings.get("control", "admin_listen")
+        self._log = folder / f"{name}.log"
+        self._process: subprocess.Popen | None = None
+
+    def start(self):
+        command = [sys.executable, "-m", "toucanfold", "control"]
+        command.append(f"--settings={self.settings.file}")
+        with open(self._log, "ab") as log:
+            self._process = subprocess.Popen(command, stderr=log, stdout=log)
+
+    def end(self, number=signal.SIGKILL):
+        """Send a signal, wait for the end and return the exit status."""
+        if self._process is None:
+            return None
+        self._process.send_signal(number)
+        status = self._process.wait(10)
+        self._process = None
+        return status
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -44,9 +44,10 @@
 
 def test_commands_end_to_end(tmp_path, capsys):
     async def test(fleet):
+        profile = helpers.plain_profile("p")
         steps = [
-            ["profile", "put", '{"name": "p"}'],
-            ["profile", "put", '{"name": "p", "attempts": 2}'],
+            ["profile", "put", json.dumps(profile)],
+            ["profile", "put", json.dumps({**profile, "attempts": 2})],
             ["route", "put", '{"name": "r", "service": "s", "profile": "p"}'],
             ["account", "put", '{"name": "a", "rate": 5, "burst": 5}'],
         ]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,7 +3,7 @@
 
 import helpers
 
-from toucanfold import adminclient, control, credentials
+from toucanfold import adminclient, control, credentials, tls
 
 
 class Fleet:
@@ -18,6 +18,7 @@
             self.settings,
             helpers.SECRET,
             operators,
+            tls.Contexts(),
             lambda fleet, send: helpers.FakeReplica(fleet),
         )
 
@@ -56,7 +57,9 @@
         loop = asyncio.get_running_loop()
         await helpers.eventually(lambda: watch.is_fresh(loop.time()))
         await helpers.eventually(lambda: "t1" in watch.state.targets)
-        status, value = await fleet.put("profiles", "operation-1", 0, name="p")
+        status, value = await fleet.put(
+            "profiles", "operation-1", 0, **helpers.plain_profile("p")
+        )
         assert (status, value["accepted"]) == (200, True)
         path = f"/v1/revisions/{value['revision']}?wait_ms=5000"
         status, value = await fleet.fetch("GET", path)
@@ -78,7 +81,9 @@
         watch.start()
         await helpers.eventually(lambda: "t1" in watch.state.targets)
         await watch.stop()
-        _, value = await fleet.put("profiles", "operation-1", 0, name="p")
+        _, value = await fleet.put(
+            "profiles", "operation-1", 0, **helpers.plain_profile("p")
+        )
         path = f"/v1/revisions/{value['revision']}"
         _, value = await fleet.fetch("GET", path)
         assert (value["accepted"], value["in_force"]) == (True, False)
--- a/toucanfold/admin.py
+++ b/toucanfold/admin.py
@@ -41,6 +41,12 @@
 flags.DEFINE_integer(
     "wait_ms", 5000, "Longest wait for a change to be in force.", flag_values=FLAGS
 )
+flags.DEFINE_bool(
+    "force",
+    False,
+    "Change members although the reachable voters are no quorum afterwards.",
+    flag_values=FLAGS,
+)
 TEXT = """Commands (ITEM is JSON text, or @FILE, or @- for standard input):
 
   profile|route|account list
@@ -55,7 +61,9 @@
   target ended NAME            confirms that the process has ended for good
   member list
   member add NAME ADDRESS
+  member replace NAME ADDRESS  the new instance has the same name and an empty disk
   member remove NAME
+  member transfer              hands the lead to another member
   status
   histograms
   wait REVISION                waits until the revision is in force"""
@@ -174,13 +182,18 @@
     match words:
         case ["member", "list"]:
             return client.read("/v1/members")
-        case ["member", "add", name, address]:
-            fields = {"action": "add", "name": name, "address": address}
+        case ["member", ("add" | "replace") as action, name, address]:
+            fields = {"action": action, "name": name, "address": address}
+            fields["force"] = FLAGS.force
             return _change(client, "POST", "/v1/members", fields)
         case ["member", "remove", name]:
-            fields = {"action": "remove", "name": name}
+            fields = {"action": "remove", "name": name, "force": FLAGS.force}
             return _change(client, "POST", "/v1/members", fields)
-    raise UsageError("use list, add NAME ADDRESS or remove NAME")
+        case ["member", "transfer"]:
+            return _change(client, "POST", "/v1/transfer", {})
+    raise UsageError(
+        "use list, add NAME ADDRESS, replace NAME ADDRESS, remove NAME or transfer"
+    )
 
 
 def _others(client: adminclient.Client, words: list[str]) -> Answer:
--- a/toucanfold/adminapi.py
+++ b/toucanfold/adminapi.py
@@ -16,6 +16,7 @@
     credentials,
     exceptions,
     httpapi,
+    members,
     metrics,
     model,
     store,
@@ -37,6 +38,7 @@
     "routes": commands.DeleteRoute,
     "accounts": commands.DeleteAccount,
 }
+MEMBER_FIELDS = ("name", "member_id", "address", "old_name", "force")
 STATUSES = {"conflict": 409, "operation_reused": 409, "invalid": 422}
 
 Response = httpapi.Response
@@ -50,14 +52,14 @@
     def __init__(
         self,
         fleet: store.Store,
-        members: cluster.Cluster,
+        control: cluster.Cluster,
         known: credentials.Credentials,
         fleet_secret: bytes,
         measured: metrics.Metrics,
         dump: Callable[[], dict[str, Any]],
     ):
         self._store = fleet
-        self._cluster = members
+        self._cluster = control
         self._credentials = known
         self._fleet_secret = fleet_secret
         self._metrics = measured
@@ -76,6 +78,7 @@
                 ("POST", r"/v1/targets/([^/]+)/ended", self._confirm_ended),
                 ("GET", r"/v1/members", self._list_members),
                 ("POST", r"/v1/members", self._change_members),
+                ("POST", r"/v1/transfer", self._transfer),
                 ("GET", r"/v1/revisions/([0-9]+)", self._wait),
                 ("GET", r"/v1/status", self._status),
                 ("GET", r"/v1/histograms", self._histograms),
@@ -245,12 +248,27 @@
         return Response(200, self._dump()["replica"])
 
     async def _change_members(self, request: Request) -> Response:
-        answered = await self._cluster.request(
-            "members", request.json(), REQUEST_LIMIT_S
-        )
+        fields = request.json()
+        change = {
+            name: value for name, value in fields.items() if name in MEMBER_FIELDS
+        }
+        change["kind"] = _field(fields, "action", str)
+        if change["kind"] not in list(members.ChangeKind):
+            raise _bad_request(f"action must be {', '.join(members.ChangeKind)}")
+        _field(fields, "name", str)
+        answered = await self._cluster.request("members", change, REQUEST_LIMIT_S)
+        if isinstance(answered, result.Failure):
+            return _error(answered.failure())
+        value = {"accepted": True, **answered.unwrap()}
+        if value["further_losses"] <= 0:
+            value["warning"] = "the remaining voters cannot bear the loss of another"
+        return Response(200, value)
+
+    async def _transfer(self, request: Request) -> Response:
+        answered = await self._cluster.request("transfer", {}, REQUEST_LIMIT_S)
         if isinstance(answered, result.Failure):
             return _error(answered.failure())
-        return Response(200, {"accepted": True, **answered.unwrap()})
+        return Response(200, answered.unwrap())
 
     async def _wait(self, request: Request, text: str) -> Response:
         try:
--- a/toucanfold/cluster.py
+++ b/toucanfold/cluster.py
@@ -12,6 +12,9 @@
 from toucanfold import exceptions, leadership, link, messages, store
 
 RECONNECT_S = 0.2
+# The member with the larger name opens a link only if the other does not, for
+# instance because it does not know the address of a member that is about to join.
+LARGER_NAME_DELAY_S = 1.0
 # Pause between attempts to reach a leader while there is none.
 RETRY_S = 0.05
 REPLY_LIMIT_S = 2.0
@@ -22,10 +25,7 @@
 
 
 class Cluster:
-    """Owner of the links to the other members of control.
-
-    Of each pair the member with the smaller name opens the link.
-    """
+    """Owner of the links to the other members of control, one for each."""
 
     def __init__(
         self,
@@ -69,7 +69,7 @@
                 if name in self._links:
                     self._links[name].close("the member was removed or moved")
         for name, address in members.items():
-            if name > self._identity.name and name not in self._openers:
+            if name != self._identity.name and name not in self._openers:
                 task = asyncio.get_running_loop().create_task(
                     self._keep_open(name, address)
                 )
@@ -159,18 +159,23 @@
                 )
 
     async def _keep_open(self, name: str, address: str) -> None:
+        delay_s = LARGER_NAME_DELAY_S if name < self._identity.name else 0.0
         while True:
             if name not in self._links:
-                opened = await link.connect(address, self._identity, self, self._tls)
-                if isinstance(opened, result.Success):
-                    peer = opened.unwrap().peer
-                    if peer is not None and peer.name != name:
-                        logging.error(
-                            "%s is %s instead of %s", address, peer.name, name
-                        )
-                        opened.unwrap().close("the peer has another name")
+                await asyncio.sleep(delay_s)
+            if name not in self._links:
+                await self._open(name, address)
             await asyncio.sleep(RECONNECT_S)
 
+    async def _open(self, name: str, address: str) -> None:
+        opened = await link.connect(address, self._identity, self, self._tls)
+        if isinstance(opened, result.Failure):
+            return
+        peer = opened.unwrap().peer
+        if peer is not None and peer.name != name:
+            logging.error("%s is %s instead of %s", address, peer.name, name)
+            opened.unwrap().close("the peer has another name")
+
     async def _request_once(self, kind: str, payload: dict[str, Any]) -> Reply:
         assert self._replica is not None and self._leadership is not None
         if self._replica.is_leader:
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import random
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -16,13 +17,18 @@
     config,
     credentials,
     exceptions,
+    files,
     httpapi,
     leadership,
     link,
     logs,
     messages,
     metrics,
+    rafttypes,
+    replica,
+    storage,
     store,
+    tls,
     watch,
     watchers,
 )
@@ -30,6 +36,7 @@
 FLAGS = flags.FlagValues()
 flags.DEFINE_string("settings", "", "Settings file.", flag_values=FLAGS)
 flags.DEFINE_string("log_level", "info", "Least level to log.", flag_values=FLAGS)
+MEMBERS_S = 0.5
 TEXT = "Runs a control instance until SIGTERM."
 
 Send = Callable[[str, messages.Raft], bool]
@@ -44,9 +51,11 @@
         settings: config.Settings,
         secret: bytes,
         operators: credentials.Credentials,
+        contexts: tls.Contexts,
         replica_factory: ReplicaFactory,
     ):
         self._settings = settings
+        self._contexts = contexts
         self._identity = link.Identity(
             fleet=settings.get("control", "fleet"),
             secret=secret,
@@ -57,7 +66,7 @@
             data_centre=settings.get("control", "data_centre"),
         )
         self.store = store.Store()
-        self.cluster = cluster.Cluster(self._identity, self.store)
+        self.cluster = cluster.Cluster(self._identity, self.store, contexts.link_client)
         self.replica = replica_factory(self.store, self.cluster.send)
         self.leadership = leadership.Leadership(
             self.replica, self.store, _make_grantor(), _make_planner()
@@ -73,18 +82,27 @@
         self._http = httpapi.Server(self._api.handle)
         self._server: asyncio.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        # Ends only when the disk fails or the instance stops.
+        self.running: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen and join the other members; OSError if an address is taken."""
         settings = self._settings
         self._server = await link.listen(
-            settings.get("control", "listen"), self._identity, self
+            settings.get("control", "listen"),
+            self._identity,
+            self,
+            self._contexts.link_server,
+        )
+        await self._http.start(
+            settings.get("control", "admin_listen"), self._contexts.admin
         )
-        await self._http.start(settings.get("control", "admin_listen"))
-        self.cluster.set_members(settings.get("control", "members"))
         loop = asyncio.get_running_loop()
+        self.running = loop.create_task(self.replica.run())
         self._tasks = [
+            self.running,
             loop.create_task(self.leadership.run()),
+            loop.create_task(self._follow_members()),
             loop.create_task(self._report()),
         ]
 
@@ -152,6 +170,16 @@
         }
         return owners.get(role)
 
+    async def _follow_members(self) -> None:
+        """Keep links to the members; a new instance starts with its settings."""
+        while True:
+            known = {
+                item["name"]: item["address"]
+                for item in self.replica.status()["members"]
+            }
+            self.cluster.set_members(known or self._settings.get("control", "members"))
+            await asyncio.sleep(MEMBERS_S)
+
     async def _report(self) -> None:
         while True:
             await asyncio.sleep(self._settings.get("metrics", "interval"))
@@ -178,23 +206,46 @@
     return found.plan if found else None
 
 
-async def _serve(settings: config.Settings, factory: ReplicaFactory) -> None:
+def make_replica(settings: config.Settings) -> ReplicaFactory:
+    """Return a factory of the replica on the data folder; raises StorageError."""
+    folder = files.LocalFiles(settings.get("control", "data_folder"))
+    kept = storage.Storage(
+        folder, settings.get("control", "fleet"), settings.get("control", "name")
+    )
+    plan = rafttypes.Founding(
+        settings.get("control", "members"), settings.get("control", "join")
+    )
+    entries = settings.get("control", "snapshot_entries")
+
+    def create(fleet: store.Store, send: Send) -> replica.Replica:
+        return replica.Replica(kept, plan, fleet, send, random.Random(), entries)
+
+    return create
+
+
+async def serve(settings: config.Settings) -> None:
+    """Run an instance until SIGTERM or SIGINT; raises StorageError."""
     secret = _value(config.read_secret(settings))
-    path = settings.get("control", "admin_file")
-    operators = _value(credentials.read(path))
-    control = Control(settings, secret, operators, factory)
+    operators = _value(credentials.read(settings.get("control", "admin_file")))
+    contexts = _value(tls.load(settings))
+    control = Control(settings, secret, operators, contexts, make_replica(settings))
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     try:
         await control.start()
-        await stopping.wait()
-        await control.stop()
     except OSError as error:
         raise exceptions.LinkError(
             f"cannot listen: {error}", "stop the other process or change the address"
         ) from error
+    assert control.running is not None
+    waiting = loop.create_task(stopping.wait())
+    await asyncio.wait({waiting, control.running}, return_when="FIRST_COMPLETED")
+    if control.running.done():
+        await control.abort()
+        control.running.result()
+    await control.stop()
 
 
 def _value(read: result.Result[Any, exceptions.ToucanfoldError]) -> Any:
@@ -210,4 +261,5 @@
         return cmdline.fail("no settings file is given", "use --settings=FILE")
     settings = _value(config.read(FLAGS.settings, "control"))
     logs.set_up(settings.get("control", "name"), FLAGS.log_level)
-    return cmdline.fail("this build has no consensus module", "update toucanfold")
+    asyncio.run(serve(settings))
+    return 0
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -10,7 +10,7 @@
 from absl import logging
 from returns import result
 
-from toucanfold import commands, exceptions, liveness, messages, model, store
+from toucanfold import commands, exceptions, liveness, members, messages, model, store
 
 TICK_S = 0.2
 # A daemon that has not confirmed a revision by then accepts no callers' requests.
@@ -56,9 +56,12 @@
         """Handle a message of another member."""
 
     async def change_members(
-        self, change: Any
+        self, change: members.MemberChange
     ) -> result.Result[int, exceptions.ToucanfoldError]:
-        """Add or remove one member."""
+        """Commit the first step of a change of members."""
+
+    def forecast(self, change: members.MemberChange) -> members.Forecast:
+        """Tell how many further losses the voters can bear with a change."""
 
     async def transfer_leadership(self) -> None:
         """Hand the lead to another member."""
@@ -122,6 +125,7 @@
             "read": self._on_read,
             "in_force": self._on_in_force,
             "members": self._on_members,
+            "transfer": self._on_transfer,
         }
         fleet.listeners.append(self._on_state)
 
@@ -179,8 +183,17 @@
         return confirmed.map(lambda _: {"revision": self._store.revision})
 
     async def _on_members(self, payload: Payload) -> Reply:
-        changed = await self._replica.change_members(payload)
-        return changed.map(lambda index: {"index": index})
+        change = members.MemberChange(
+            **{**payload, "kind": members.ChangeKind(payload["kind"])}
+        )
+        expected = self._replica.forecast(change)
+        changed = await self._replica.change_members(change)
+        fields = {"forecast": expected.text, "further_losses": expected.losses}
+        return changed.map(lambda index: {"index": index, **fields})
+
+    async def _on_transfer(self, payload: Payload) -> Reply:
+        await self._replica.transfer_leadership()
+        return result.Success({"transferred": not self._replica.is_leader})
 
     async def _on_in_force(self, payload: Payload) -> Reply:
         confirmed = await self._replica.confirm_read()
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -9,9 +9,11 @@
 
 from absl import logging
 
-from toucanfold import link, messages, model, watchstate
+from toucanfold import config, link, messages, model, watchstate
 
 PING_S = 0.5
+# An applied change is confirmed at once, but not more often than this.
+MIN_PING_S = 0.1
 SILENCE_S = 0.9
 # Pause before another round after all instances failed.
 RETRY_S = 0.2
@@ -53,6 +55,26 @@
     return (time.time_ns() // 1_000_000 << 22) | secrets.randbits(22)
 
 
+def from_settings(
+    settings: config.Settings,
+    identity: link.Identity,
+    holder: Holder | None = None,
+    tls: ssl.SSLContext | None = None,
+) -> "Watch":
+    """Return the watch of a daemon; the identity needs a rising incarnation."""
+    announcement = messages.Announcement(
+        name=identity.name,
+        incarnation=identity.incarnation,
+        service=settings.get("daemon", "service"),
+        region=identity.region,
+        data_centre=identity.data_centre,
+        link_address=settings.get("daemon", "link_advertise")
+        or settings.get("daemon", "link_listen"),
+    )
+    addresses = settings.get("daemon", "control")
+    return Watch(identity, addresses, announcement, holder, tls)
+
+
 class Watch:
     """Task that keeps the fleet state; use ``state``, ``is_fresh`` and ``subscribe``.
 
@@ -73,6 +95,7 @@
         self._holder = holder
         self._tls = tls
         self._known = watchstate.WatchState()
+        self.state = self._known.state
         self._callbacks: list[Callback] = []
         self._link: link.Link | None = None
         self._address = ""
@@ -84,11 +107,6 @@
         self._moves = 0
         self._returning: asyncio.Task[None] | None = None
 
-    @property
-    def state(self) -> model.FleetState:
-        """The last applied fleet state."""
-        return self._known.state
-
     def is_fresh(self, now: float) -> bool:
         """Whether callers' requests may be accepted (now is the loop's time)."""
         return self._known.is_fresh(now)
@@ -147,13 +165,12 @@
         sent_at = self._known.on_pong(now, message)
         if self._known.revision != before:
             self._publish(now)
+            # Confirm the revision, or ask for the rest if it did not fit into a pong.
+            self._wake.set()
         if sent_at is not None:
             self._answered_at = now
             if self._holder is not None:
                 self._holder.on_grants(now, sent_at, message.raft_term, message.shares)
-        elif before < self._known.revision < message.revision:
-            # The change did not fit into one pong: ask for the rest at once.
-            self._wake.set()
 
     def on_close(self, closed: link.Link, reason: str) -> None:
         """Wake the task to open another link."""
@@ -161,6 +178,7 @@
             self._wake.set()
 
     def _publish(self, now: float) -> None:
+        self.state = self._known.state
         if self._holder is not None:
             self._holder.on_state(now, self.state)
         for callback in self._callbacks:
@@ -236,6 +254,7 @@
             if self._should_return(now, started_at):
                 self._returning = loop.create_task(self._return())
             self._ping(now)
+            await asyncio.sleep(MIN_PING_S)
             await self._pause()
         if self._link is not None:
             self._avoid[self._address] = loop.time() + AVOID_S
@@ -274,7 +293,8 @@
         loop = asyncio.get_running_loop()
         until_silent = self._answered_at + SILENCE_S - loop.time() + 0.001
         try:
-            async with asyncio.timeout(max(0.0, min(PING_S, until_silent))):
+            limit_s = min(PING_S - MIN_PING_S, until_silent)
+            async with asyncio.timeout(max(0.0, limit_s)):
                 await self._wake.wait()
         except TimeoutError:
             pass
