Wire the daemon to the watch, the router and the forwarder

Cause: the daemon ran with a fixed state and sent each call once. Change: the composition root builds the watch, router, retry budgets and forwarder; a module lists all plug-ins so that control and daemons know the same names; incarnations rise with each start. The default limiter and queue are not registered yet, so three tests of control still fail.

--- a/tests/fleetparts.py
+++ b/tests/fleetparts.py
@@ -139,6 +139,7 @@
             "d1",
             settings.get("daemon", "link_listen"),
         )
+        self.source.publish()
         return made
 
     def address(self, name, listener="caller"):
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -22,6 +22,7 @@
     logs,
     messages,
     metrics,
+    plugins,
     store,
     watch,
     watchers,
@@ -120,6 +121,7 @@
             "linked_members": self.cluster.connected,
             "revision": self.store.revision,
             "watchers": self.watchers.dump(),
+            "plugins": [module.__name__ for module in plugins.MODULES],
             "leadership": self.leadership.dump(now),
             "metrics": self.metrics.dump(),
         }
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import random
-import secrets
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -20,17 +19,23 @@
     egress,
     entry,
     exceptions,
+    forward,
     httpclient,
     httpserver,
     link,
     linkcalls,
     logs,
+    messages,
     metrics,
     model,
     parts,
     peers,
+    plugins,
     queueing,
+    retries,
+    router,
     tls,
+    watch,
 )
 
 FLAGS = flags.FlagValues()
@@ -92,9 +97,14 @@
             self._contexts.link_client,
             self._contexts.link_server,
         )
-        self.forwarder: linkcalls.CallRunner = parts.DirectForwarder(
-            self.service, source, self.dispatcher, self.peers, self.rng
+        self.router = router.Router(
+            identity.name,
+            identity.region,
+            identity.data_centre,
+            self._get("region_budget"),
+            self.rng,
         )
+        self.forwarder = self._make_forwarder()
         self.entry = self._make_entry()
         self.egress = egress.Egress(
             source, self.tokens, self.forwarder, self.metrics, self._get("max_depth")
@@ -182,6 +192,8 @@
                 "idle_connections": self.dispatcher.pool.idle,
             },
             "links": self.peers.dump(),
+            "routing": self.router.describe(asyncio.get_running_loop().time()),
+            "plugins": [module.__name__ for module in plugins.MODULES],
             "metrics": self.metrics.dump(),
         }
 
@@ -213,6 +225,26 @@
             queueing.FifoQueue(),
         )
 
+    def _make_forwarder(self) -> forward.Forwarder:
+        name = self._identity.name
+        sender = forward.Sender(
+            name,
+            self.router,
+            retries.Budgets(),
+            self.dispatcher,
+            self.peers,
+            lambda: self.source.state,
+        )
+        self.peers.on_link = self.router.on_link
+        return forward.Forwarder(
+            name,
+            sender,
+            self.incoming,
+            self.peers,
+            self.router,
+            lambda: self.source.state,
+        )
+
     def _make_entry(self) -> entry.Entry:
         return entry.Entry(
             self.source,
@@ -224,7 +256,8 @@
         )
 
     def _on_state(self, state: model.FleetState) -> None:
-        """Follow the plug-ins that the service's most important profile names."""
+        """Follow the directory and the plug-ins of the most important profile."""
+        self.router.update(asyncio.get_running_loop().time(), state)
         profile = _leading_profile(state, self.service)
         if profile is None:
             return
@@ -316,14 +349,26 @@
         secret,
         "daemon",
         settings.get("daemon", "name"),
-        secrets.randbits(63),
+        watch.new_incarnation(),
         settings.get("daemon", "region"),
         settings.get("daemon", "data_centre"),
     )
 
 
-# Replaced by watch.Watch when the control side is present.
-make_source: Callable[[Setup, link.Identity], parts.StateSource] | None = None
+def make_watch(setup: Setup, identity: link.Identity) -> watch.Watch:
+    """Return the watch that announces the target of a daemon."""
+    settings, _, contexts = setup
+    announcement = messages.Announcement(
+        name=identity.name,
+        incarnation=identity.incarnation,
+        service=settings.get("daemon", "service"),
+        region=identity.region,
+        data_centre=identity.data_centre,
+        link_address=settings.get("daemon", "link_advertise")
+        or settings.get("daemon", "link_listen"),
+    )
+    addresses = settings.get("daemon", "control")
+    return watch.Watch(identity, addresses, announcement, tls=contexts.link_client)
 
 
 def main(arguments: list[str]) -> int:
@@ -338,13 +383,10 @@
     settings, secret, contexts = setup
     logs.set_up(settings.get("daemon", "name"), FLAGS.log_level)
     identity = identity_of(settings, secret)
-    source = (
-        parts.FixedState(model.FleetState())
-        if make_source is None
-        else make_source(setup, identity)
-    )
 
     async def run() -> None:
+        source = make_watch(setup, identity)
+        source.start()
         await serve(Daemon(settings, identity, source, contexts))
 
     asyncio.run(run())
--- a/toucanfold/parts.py
+++ b/toucanfold/parts.py
@@ -10,7 +10,9 @@
 class StateSource(Protocol):
     """The fleet state and whether it is fresh; watch.Watch is one."""
 
-    state: model.FleetState
+    @property
+    def state(self) -> model.FleetState:
+        """The last known fleet state."""
 
     def is_fresh(self, now: float) -> bool:
         """Whether callers' requests may be accepted under this state."""
