Add the bench with scenarios and scores

Cause: the product must be compared with a baseline under the same schedule. Change: deployments scaled to one machine, scenarios as phases and actions, scores against what capacity allows, a relay that can fall silent, the naive fleet.

--- a/tests/test_loadgen.py
+++ b/tests/test_loadgen.py
@@ -14,7 +14,9 @@
         [loadgen.Sender("a", "ka", 40.0), loadgen.Sender("b", "kb", 10.0)],
         [
             loadgen.RequestKind("look", "parts", "GET", "/look", 0.8),
-            loadgen.RequestKind("book", "parts", "POST", "/book", 0.2, critical=True),
+            loadgen.RequestKind(
+                "book", "parts", "POST", "/book", 0.2, importance="critical"
+            ),
         ],
         **fields,
     )
--- /dev/null
+++ b/tests/test_score.py
@@ -0,0 +1,107 @@
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from toucanfold import bench, deployments, loadgen, scenarios, score
+
+
+def record(at_s, good=True, sender=0, kind=0, latency_s=0.1, error=""):
+    status = 200 if good else 503
+    error = error or ("" if good else "overloaded")
+    return loadgen.Record(
+        0, at_s, sender, kind, status, error, "not-run", latency_s, 1, 0.0, 0.0
+    )
+
+
+def make_run(records, scenario=None) -> score.Run:
+    deployment = deployments.PENDULUM
+    keys = {account.name: "k" for account in deployment.accounts}
+    scenario = scenario or scenarios.Scenario("steady", 4.0, has_added_latency=True)
+    plan = bench.make_plan(deployment, scenario, ["127.0.0.1:1"], keys, 7)
+    counts = {"request_runs": 110, "distinct_requests": 100, "double_runs": 3}
+    return score.Run(deployment, scenario, plan, records, counts)
+
+
+def test_line_has_exactly_the_fields():
+    """Readers of the output rely on the names and on null where none applies."""
+    line = score.line(make_run([record(n / 10) for n in range(40)]), "naive")
+    assert tuple(line) == score.FIELDS
+    assert line["goodput"] == 10.0
+    assert line["attempts_per_request"] == 1.1
+    assert line["double_runs"] == 3
+    assert line["recovery_s"] is None
+    assert line["added_p50_ms"] is not None
+
+
+def test_fill_serves_important_kinds_first():
+    """The bound must not promise capacity which critical kinds need."""
+    chains = [["a"], ["a", "b"], ["b"]]
+    served = score.fill([100, 50, 100], [2, 0, 2], chains, {"a": 100, "b": 60})
+    assert served == pytest.approx([50, 50, 10])
+
+
+@hypothesis.given(
+    strategies.lists(strategies.floats(0, 1e3), min_size=4, max_size=4),
+    strategies.lists(strategies.integers(0, 3), min_size=4, max_size=4),
+)
+def test_fill_never_exceeds_demand_or_capacity(demand, ranks):
+    """A bound above capacity would make every policy look worse than it is."""
+    chains = [["a"], ["a", "b"], ["b", "c"], ["c"]]
+    capacity = {"a": 200.0, "b": 100.0, "c": 50.0}
+    served = score.fill(demand, ranks, chains, capacity)
+    assert all(s <= d + 1e-6 for s, d in zip(served, demand, strict=True))
+    for name, most in capacity.items():
+        used = sum(s for s, c in zip(served, chains, strict=True) if name in c)
+        assert used <= most + 1e-6
+
+
+def naive_over_rate(records, rate, burst):
+    worst = 0.0
+    edges = {r.at_s for r in records} | {r.at_s + r.latency_s for r in records}
+    for start in edges:
+        for end in edges:
+            inside = [
+                r for r in records if r.at_s >= start and r.at_s + r.latency_s <= end
+            ]
+            if inside and end > start:
+                worst = max(worst, len(inside) - rate * (end - start) - burst)
+    return worst
+
+
+@hypothesis.given(strategies.integers(0, 500))
+def test_over_rate_agrees_with_all_windows(seed):
+    """The grid must neither invent an excess nor miss a large one."""
+    rng = random.Random(seed)
+    records = [record(rng.random() * 3, latency_s=rng.random() / 2) for _ in range(40)]
+    exact = naive_over_rate(records, 5.0, 10.0)
+    found = score.over_rate(records, 5.0, 10.0)
+    assert found <= exact + 1e-9
+    assert found >= exact - 5.0 * 2 * score.GRID_S - 1e-9
+
+
+def test_recovery_needs_lasting_success():
+    """One lucky moment after a surge is not a recovery."""
+    bad = [(0, 1.0), (1.25, 2.0)]
+    records = [
+        record(n / 100, not any(a <= n / 100 < b for a, b in bad)) for n in range(400)
+    ]
+    assert score.recovery_s(records, 0.0, 4.0) == 2.0
+    assert score.recovery_s([record(n / 10, False) for n in range(40)], 0, 4) is None
+
+
+def test_scenarios_are_complete():
+    """A scenario that is named in the requirements must not be lost."""
+    names = [item.name for item in scenarios.all_scenarios(deployments.SETUBHAR, False)]
+    assert len(names) == len(set(names)) == 14
+    assert set(scenarios.QUICK) < set(names)
+
+
+@pytest.mark.parametrize("deployment", deployments.DEPLOYMENTS.values())
+def test_deployments_are_within_capacity_when_calm(deployment):
+    """A calm load above capacity or rates would measure nothing else."""
+    sent = sum(account.base_rate for account in deployment.accounts)
+    assert sent == pytest.approx(deployments.STEADY_SHARE * deployment.capacity)
+    assert all(account.rate > account.base_rate for account in deployment.accounts)
+    assert deployment.surge_factor(4.0) < deployments.RATE_FACTOR
--- a/toucanfold/client.py
+++ b/toucanfold/client.py
@@ -50,13 +50,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Reply:
-    """A target's answer and how many attempts this client made for it."""
+    """A target's answer; attempts sent for it, and those whose connection was cut."""
 
     status: int
     headers: plainhttp.Headers
     body: bytes
     attempts: int
     request_id: str
+    cuts: int = 0
 
     def header(self, name: bytes) -> str:
         """Return the first value of a lower-case header name."""
@@ -81,6 +82,7 @@
     is_keyed: bool
     deadline: float
     attempt: int = 0
+    cuts: int = 0
 
 
 class Client:
@@ -152,9 +154,11 @@
             call.attempt += 1
             if isinstance(outcome, result.Success):
                 self._budget = min(BUDGET_CAPACITY, self._budget + BUDGET_PER_SUCCESS)
+                outcome.unwrap().cuts = call.cuts
                 return outcome
             error = outcome.failure()
-            error.attempts = call.attempt
+            call.cuts += isinstance(error, exceptions.ConnectionLostError)
+            error.attempts, error.cuts = call.attempt, call.cuts
             delay_s = self._retry_delay(call, error)
             if delay_s is None:
                 return outcome
--- a/toucanfold/loadgen.py
+++ b/toucanfold/loadgen.py
@@ -60,7 +60,7 @@
     path: str
     share: float
     timeout_ms: int = 2500
-    critical: bool = False
+    importance: str = "normal"
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +112,7 @@
     attempts: int
     target_s: float
     late_s: float
+    cuts: int = 0
 
     @property
     def is_good(self) -> bool:
@@ -235,14 +236,15 @@
         latency_s: float,
         late_s: float,
     ) -> None:
-        status, error, outcome, target_s = 0, "", "ran", 0.0
+        error, outcome, target_s = "", "ran", 0.0
         if isinstance(answered, result.Success):
             reply = answered.unwrap()
-            status, attempts = reply.status, reply.attempts
+            status, attempts, cuts = reply.status, reply.attempts, reply.cuts
             target_s = float(reply.header(b"standin-seconds") or 0)
         else:
             failure = answered.failure()
             status, attempts = failure.status, failure.attempts
+            cuts = failure.cuts
             error, outcome = failure.kind, failure.outcome
         # An answer after the deadline is of no use to the caller.
         if not error and latency_s > self._plan.kinds[shot.kind].timeout_ms / 1000:
@@ -260,6 +262,7 @@
                 attempts,
                 target_s,
                 late_s,
+                cuts,
             )
         )
 
--- /dev/null
+++ b/toucanfold/scenarios.py
@@ -0,0 +1,113 @@
+"""Scenarios of the bench: phases of the load, and what is done to the fleet when."""
+
+import dataclasses
+
+from toucanfold import deployments, loadgen
+
+SLOW_FACTOR = 10.0
+NOISY_FACTOR = 5.0
+COLD_START_S = 3.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Action:
+    """Something done to the fleet at a time after the start (s)."""
+
+    at_s: float
+    name: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Scenario:
+    """One scenario; times in seconds after the start of the load.
+
+    Recovery is counted from recover_from_s; a negative value means it does not apply.
+    """
+
+    name: str
+    duration_s: float
+    phases: tuple[loadgen.Phase, ...] = ()
+    actions: tuple[Action, ...] = ()
+    slow: tuple[float, float] | None = None
+    recover_from_s: float = -1.0
+    is_overload: bool = False
+    has_added_latency: bool = False
+    is_planned: bool = False
+
+
+def _surge(deployment: deployments.Deployment, name: str, demand: float, quick: bool):
+    start_s, end_s, duration_s = (1.0, 3.5, 5.0) if quick else (1.5, 5.5, 8.0)
+    factor = deployment.surge_factor(demand)
+    phases = tuple(
+        loadgen.Phase(start_s, end_s, factor, account.name)
+        for account in deployment.accounts
+        if account.name != deployments.NOISY_ACCOUNT
+    )
+    return Scenario(name, duration_s, phases, recover_from_s=end_s, is_overload=True)
+
+
+def _slow_deep(quick: bool) -> Scenario:
+    start_s, end_s, duration_s = (0.5, 3.5, 5.0) if quick else (1.5, 11.5, 14.5)
+    actions = (Action(start_s, "slow"), Action(end_s, "normal_speed"))
+    return Scenario(
+        "slow_deep",
+        duration_s,
+        actions=actions,
+        slow=(start_s, end_s),
+        recover_from_s=end_s,
+        is_overload=True,
+    )
+
+
+def _fault(name: str, duration_s: float, *actions: Action, planned: bool = False):
+    return Scenario(
+        name,
+        duration_s,
+        actions=actions,
+        recover_from_s=actions[0].at_s,
+        is_planned=planned,
+    )
+
+
+def all_scenarios(deployment: deployments.Deployment, quick: bool) -> list[Scenario]:
+    """Return the scenarios in the order in which a fleet meets them."""
+    noisy_factor = NOISY_FACTOR * deployments.NOISY_RATE_FACTOR
+    noisy = loadgen.Phase(1.0, 5.0, noisy_factor, deployments.NOISY_ACCOUNT)
+    steady_s = 3.0 if quick else 6.0
+    return [
+        Scenario("steady", steady_s, has_added_latency=True, is_planned=True),
+        _surge(deployment, "surge_2x", 2.0, quick),
+        _surge(deployment, "surge_4x", 4.0, quick),
+        _slow_deep(quick),
+        Scenario("noisy_account", 6.0, (noisy,)),
+        _fault("key_withdrawn", 5.0, Action(1.5, "withdraw_key")),
+        _fault(
+            "drain",
+            6.0,
+            Action(1.5, "drain"),
+            Action(4.0, "undrain"),
+            planned=True,
+        ),
+        _fault("rolling_restart", 8.0, Action(1.0, "rolling_restart"), planned=True),
+        _fault(
+            "target_lost",
+            6.0,
+            Action(1.5, "lose_target"),
+            Action(4.5, "restore_target"),
+        ),
+        _fault(
+            "leader_lost",
+            6.0,
+            Action(1.5, "kill_leader"),
+            Action(4.5, "restore_leader"),
+        ),
+        _fault(
+            "control_cut", 7.0, Action(1.5, "cut_control"), Action(5.0, "heal_control")
+        ),
+        _fault("config_change", 5.0, Action(1.0, "change_settings"), planned=True),
+        _fault("cold_start", 7.0, Action(1.5, "cold_start")),
+        _fault("silent_links", 6.0, Action(1.5, "silence_links")),
+    ]
+
+
+QUICK = ("steady", "surge_2x", "slow_deep")
