Add the demo, the product's fleet in the bench and the report

Cause: the product must be shown and measured with real processes. Change: a local fleet with its operator, the demo, the product's fleet for the bench, and a page with plots made from the bench's lines. Conclusion: the demo cannot run before control is wired.

--- a/toucanfold/bench.py
+++ b/toucanfold/bench.py
@@ -16,6 +16,7 @@
     deployments,
     fleet,
     loadgen,
+    productfleet,
     scenarios,
     score,
 )
@@ -23,7 +24,10 @@
 LOAD_PARTS = 3
 LOAD_START_S = 1.0
 SETTLE_S = 0.3
-POLICIES: dict[str, type[benchfleet.BenchFleet]] = {"naive": benchfleet.NaiveFleet}
+POLICIES: dict[str, type[benchfleet.BenchFleet]] = {
+    "toucanfold": productfleet.ProductFleet,
+    "naive": benchfleet.NaiveFleet,
+}
 
 FLAGS = flags.FlagValues()
 flags.DEFINE_bool("quick", False, "Run three short scenarios.", flag_values=FLAGS)
--- a/toucanfold/benchfleet.py
+++ b/toucanfold/benchfleet.py
@@ -9,6 +9,7 @@
 
 # One target of each wide service is the subject of drains, losses and silence.
 SUBJECT_REGION, SUBJECT_CENTRE = "north", "a"
+WITHDRAWN_ACCOUNT = "account4"
 CONTROL_TIMEOUT_S = 10.0
 
 
@@ -154,7 +155,8 @@
             each.silence()
 
     async def withdraw_key(self) -> None:
-        """Withdraw the key of a connected client account."""
+        """Withdraw the key of a connected client account, if the policy can."""
+        self.withdrawn = WITHDRAWN_ACCOUNT
 
     async def kill_leader(self) -> None:
         """Kill the leader of control."""
--- a/toucanfold/cmdline.py
+++ b/toucanfold/cmdline.py
@@ -22,6 +22,7 @@
     "target": ("toucanfold.standin", "run a stand-in target"),
     "load": ("toucanfold.loadgen", "send a planned load and time the answers"),
     "naive": ("toucanfold.naive", "run the naive proxy of the bench"),
+    "report": ("toucanfold.report", "make a page from the output of the bench"),
 }
 
 
--- a/toucanfold/exceptions.py
+++ b/toucanfold/exceptions.py
@@ -157,3 +157,7 @@
 
 class TargetFailedError(RefusedError):
     """The target failed or answered with an error."""
+
+
+class DemoError(ToucanfoldError):
+    """A step of the demonstration did not show what it should."""
