--- /dev/null
+++ b/tests/fleetsim.py
@@ -0,0 +1,130 @@
+"""Simulated holders and grantor with their own clocks and a delayed network."""
+
+import heapq
+import itertools
+
+from toucanfold import leases, limits, model
+
+
+def target(name, incarnation, state="up"):
+    return model.Target(name, incarnation, "s", "r", "d", "127.0.0.1:1", state)
+
+
+def state_of(accounts, daemons):
+    """Return a state of {name: (rate, burst)} and {(name, incarnation): state}."""
+    state = model.FleetState()
+    for name, (rate, burst) in accounts.items():
+        state.accounts[name] = model.Account(name, rate, burst)
+    for (name, incarnation), kind in daemons.items():
+        state.targets[name] = target(name, incarnation, kind)
+    return state
+
+
+class NaiveBucket:
+    """One central bucket that starts full."""
+
+    def __init__(self, rate, burst):
+        self.rate, self.burst = rate, burst
+        self.tokens, self.at = burst, 0.0
+        self.spent = 0
+
+    def spend(self, now):
+        grown = self.tokens + (now - self.at) * self.rate
+        self.tokens, self.at = min(self.burst, grown), now
+        if self.tokens >= 1 - 1e-6:
+            self.tokens -= 1
+            self.spent += 1
+
+
+class WindowCheck:
+    """Checks rate x time + burst over all windows, in constant time per event.
+
+    The excess of the spending over the rate, above its lowest point so far, is the
+    largest excess of any window that ends now.
+    """
+
+    def __init__(self, burst):
+        self.level, self.at, self.burst = 0.0, 0.0, burst
+        self.worst = 0.0
+
+    def spend(self, now, rate):
+        self.level = max(0.0, self.level - (now - self.at) * rate)
+        self.at = now
+        self.level += 1
+        self.worst = max(self.worst, self.level)
+        assert self.level <= self.burst + 1e-6
+
+
+class Fleet:
+    """Daemons that ping one leader without failures; time in seconds."""
+
+    def __init__(self, daemons, accounts, delay_s=0.02, rng=None):
+        self.now = 0.0
+        self.delay_s = delay_s
+        self.accounts = accounts
+        self.events, self.order = [], itertools.count()
+        self.holders = {(f"d{i}", 1): limits.Holder() for i in range(daemons)}
+        self.state = state_of(accounts, dict.fromkeys(self.holders, "up"))
+        self.grantor = leases.Grantor()
+        self.grantor.on_lead(0.0, 1, self.state)
+        self.pings = 0
+        self.pinged = {}
+        self.checks = {a: WindowCheck(burst) for a, (_, burst) in accounts.items()}
+        self.offered = dict.fromkeys(accounts, 0)
+        self.refused = dict.fromkeys(accounts, 0)
+        for index, (key, holder) in enumerate(self.holders.items()):
+            holder.on_state(0.0, self.state)
+            self.at(index * 0.5 / daemons, self._tick, key)
+
+    def at(self, when, action, *arguments):
+        heapq.heappush(self.events, (when, next(self.order), action, arguments))
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+        self.now = until
+
+    def _tick(self, key):
+        """Ping each 500 ms, or earlier when the holder wants it."""
+        due = self.now >= self.pinged.get(key, -1.0) + 0.5
+        if due or self.holders[key].wants_ping(self.now):
+            self._ping(key)
+        self.at(self.now + 0.02, self._tick, key)
+
+    def _ping(self, key):
+        holder = self.holders[key]
+        self.pinged[key] = self.now
+        self.pings += 1
+        demands = holder.demands(self.now)
+        shares = holder.held(self.now)
+        term = holder.raft_term
+        arguments = (key, self.now, term, demands, shares)
+        self.at(self.now + self.delay_s, self._answer, *arguments)
+
+    def _answer(self, key, sent_at, term, demands, shares):
+        answer = self.grantor.on_ping(self.now, *key, term, demands, shares)
+        self.at(self.now + self.delay_s, self._deliver, key, sent_at, answer)
+
+    def _deliver(self, key, sent_at, answer):
+        holder = self.holders[key]
+        holder.on_grants(self.now, sent_at, self.grantor.raft_term, answer)
+
+    def call(self, key, account, since=None):
+        if since is None:
+            self.offered[account] += 1
+        result = self.holders[key].spend(self.now, account, since=since)
+        if result.kind is limits.SpendKind.SPENT:
+            self.checks[account].spend(self.now, self.accounts[account][0])
+        elif result.kind is limits.SpendKind.REFUSED:
+            self.refused[account] += 1
+        else:
+            first = self.now if since is None else since
+            self.at(self.now + result.seconds, self.call, key, account, first)
+
+    def poisson(self, rng, account, rate, pick, start, end):
+        """Offer calls at random times; pick(time) names the entry."""
+        when = start + rng.expovariate(rate)
+        while when < end:
+            self.at(when, self.call, pick(when), account)
+            when += rng.expovariate(rate)
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -139,6 +139,7 @@
   account @0 :Text;
   rate @1 :Float64;
   burst @2 :Float64;
+  tokens @3 :Float64;
 }
 
 struct Share {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -206,11 +206,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Demand(Message):
-    """What a daemon would spend for one client account (tokens/s, tokens)."""
+    """What a daemon would spend for one client account (tokens/s, tokens).
+
+    rate is the offered load, burst the wanted capacity, tokens what the bucket holds.
+    """
 
     account: str = ""
     rate: float = 0.0
     burst: float = 0.0
+    tokens: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/toucanfold/sharing.py
@@ -0,0 +1,115 @@
+"""Max-min fair division of one client account's rate and burst among holders."""
+
+import dataclasses
+import math
+from collections.abc import Iterable, Sequence
+
+# Part of the burst that idle daemons hold in advance, so that the first calls of an
+# entry need not wait for a grant.
+STANDING_PART = 0.25
+# Part of the burst that stays in the pool for entries with sudden demand.
+RESERVE_PART = 0.25
+# Part of the rate and burst above the demand that is granted; the rest stays in the
+# pool, whose tokens go to any holder that lacks some.
+SPARE_PART = 0.5
+# Part of a bucket up to which the tokens of the pool's reserve are given out.
+LOW_PART = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Offer:
+    """One holder's offered rate, wanted capacity and present tokens."""
+
+    rate: float = 0.0
+    wanted: float = 0.0
+    tokens: float = math.inf
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Water levels that give each holder's share from its own offer."""
+
+    rate_level: float = math.inf
+    rate_factor: float = 1.0
+    burst_level: float = math.inf
+    burst_factor: float = 1.0
+    standing: float = 0.0
+    # Part to which the pool's tokens can fill each bucket.
+    fill: float = 0.0
+
+    def share(self, offer: Offer) -> tuple[float, float]:
+        """Return the planned rate and burst of a holder."""
+        rate = min(offer.rate, self.rate_level) * self.rate_factor
+        if offer.wanted <= 0:
+            return rate, self.standing
+        burst = min(offer.wanted, self.burst_level) * self.burst_factor
+        return rate, max(1.0, self.standing, burst)
+
+
+def water_level(total: float, demands: Iterable[float]) -> float:
+    """Return the level at which the demands, cut to it, sum up to the total."""
+    ordered = sorted(demands)
+    left = total
+    for index, demand in enumerate(ordered):
+        count = len(ordered) - index
+        if demand * count >= left:
+            return left / count
+        left -= demand
+    return math.inf
+
+
+def standing_burst(burst: float, daemons: int) -> float:
+    """Return the capacity held by each idle daemon, zero if it is below one token."""
+    part = burst * STANDING_PART / max(1, daemons)
+    return part if part >= 1 else 0.0
+
+
+def fill_part(tokens: float, buckets: Iterable[tuple[float, float]]) -> float:
+    """Return the part to which tokens can fill all buckets of (tokens, burst)."""
+    ordered = sorted((held / burst, held, burst) for held, burst in buckets)
+    part, capacity = 0.0, 0.0
+    for ratio, held, burst in ordered:
+        if capacity > 0 and tokens / capacity <= ratio:
+            break
+        tokens += held
+        capacity += burst
+    if capacity > 0:
+        part = tokens / capacity
+    return min(1.0, part)
+
+
+def plan(
+    rate: float,
+    burst: float,
+    daemons: int,
+    pool: float,
+    offers: Sequence[Offer],
+) -> Plan:
+    """Divide a rate, a burst and the pool's tokens among the holders."""
+    active = [offer for offer in offers if offer.wanted > 0]
+    demand = math.fsum(offer.rate for offer in active)
+    wanted = math.fsum(offer.wanted for offer in active)
+    standing = standing_burst(burst, daemons)
+    idle = standing * max(0, daemons - len(active))
+    capacity = max(0.0, burst * (1 - RESERVE_PART) - idle)
+    # Without a whole token a capacity is useless, so the reserve gives way.
+    capacity = max(capacity, min(burst, float(len(active))))
+    made = Plan(
+        rate_level=water_level(rate, [offer.rate for offer in active]),
+        rate_factor=_spare_factor(rate, demand),
+        burst_level=water_level(capacity, [offer.wanted for offer in active]),
+        burst_factor=_spare_factor(capacity, wanted),
+        standing=standing,
+    )
+    buckets = [(offer.tokens, made.share(offer)[1]) for offer in offers]
+    buckets = [(held, size) for held, size in buckets if held < size]
+    reserve = RESERVE_PART * burst
+    low = min(LOW_PART, fill_part(pool, buckets))
+    made.fill = max(low, fill_part(max(0.0, pool - reserve), buckets))
+    return made
+
+
+def _spare_factor(total: float, demand: float) -> float:
+    if demand <= 0:
+        return 1.0
+    return min(2.0, 1 + SPARE_PART * max(0.0, total - demand) / demand)
