Wire the rate shares into the daemon and the watch

Cause: the daemon did not limit client accounts. Change: requests wait for tokens of the shares that the watch renews; a shortage sends an early ping.

--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -22,6 +22,7 @@
     forward,
     httpclient,
     httpserver,
+    limits,
     link,
     linkcalls,
     logs,
@@ -34,6 +35,7 @@
     queueing,
     retries,
     router,
+    spending,
     tls,
     watch,
 )
@@ -77,10 +79,12 @@
         source: parts.StateSource,
         contexts: tls.Contexts | None = None,
         rng: random.Random | None = None,
+        rate: parts.Rate | None = None,
     ):
         self._settings = settings
         self._identity = identity
         self.source = source
+        self._rate = rate
         self._contexts = contexts or tls.Contexts()
         self.rng = rng or random.Random()
         self.metrics = metrics.Metrics(
@@ -252,6 +256,7 @@
             self.forwarder,
             self.metrics,
             self.rng,
+            rate=self._rate,
             serve_open_when_stale=self._get("serve_open_when_stale"),
         )
 
@@ -355,7 +360,9 @@
     )
 
 
-def make_watch(setup: Setup, identity: link.Identity) -> watch.Watch:
+def make_watch(
+    setup: Setup, identity: link.Identity, holder: limits.Holder
+) -> watch.Watch:
     """Return the watch that announces the target of a daemon."""
     settings, _, contexts = setup
     announcement = messages.Announcement(
@@ -368,7 +375,7 @@
         or settings.get("daemon", "link_listen"),
     )
     addresses = settings.get("daemon", "control")
-    return watch.Watch(identity, addresses, announcement, tls=contexts.link_client)
+    return watch.Watch(identity, addresses, announcement, holder, contexts.link_client)
 
 
 def main(arguments: list[str]) -> int:
@@ -385,9 +392,11 @@
     identity = identity_of(settings, secret)
 
     async def run() -> None:
-        source = make_watch(setup, identity)
+        holder = limits.Holder()
+        source = make_watch(setup, identity, holder)
+        rate = spending.Spender(holder, source.ping_soon)
         source.start()
-        await serve(Daemon(settings, identity, source, contexts))
+        await serve(Daemon(settings, identity, source, contexts, rate=rate))
 
     asyncio.run(run())
     return 0
--- /dev/null
+++ b/toucanfold/spending.py
@@ -0,0 +1,33 @@
+"""Waits for tokens of client accounts on behalf of callers' requests."""
+
+import asyncio
+from collections.abc import Callable
+
+from toucanfold import limits
+
+MIN_PAUSE_S = 0.001
+
+
+class Spender:
+    """Spends from a holder of shares; asks for an early ping when one would help."""
+
+    __slots__ = ("_holder", "_loop", "_ping_soon")
+
+    def __init__(self, holder: limits.Holder, ping_soon: Callable[[], None]):
+        self._holder = holder
+        self._ping_soon = ping_soon
+        self._loop = asyncio.get_running_loop()
+
+    async def spend(self, account: str) -> float:
+        """Return 0 when a token was spent, else the seconds until one (at least)."""
+        started_at = self._loop.time()
+        spent = self._holder.spend(started_at, account)
+        while spent.kind is limits.SpendKind.WAIT:
+            self._ping_soon()
+            await asyncio.sleep(max(MIN_PAUSE_S, spent.seconds))
+            now = self._loop.time()
+            spent = self._holder.spend(now, account, since=started_at)
+        self._ping_soon()
+        if spent.kind is limits.SpendKind.SPENT:
+            return 0.0
+        return max(MIN_PAUSE_S, spent.seconds)
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -31,6 +31,12 @@
 class Holder(Protocol):
     """What the watch needs of limits.Holder."""
 
+    # The newest term whose grants were taken.
+    raft_term: int
+
+    def wants_ping(self, now: float) -> bool:
+        """Whether a ping before the regular one would help."""
+
     def demands(self, now: float) -> list[messages.Demand]:
         """Return what the daemon would spend."""
 
@@ -119,6 +125,12 @@
         """Start the task."""
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def ping_soon(self) -> None:
+        """Send the next ping now if the holder of shares needs an answer."""
+        now = asyncio.get_running_loop().time()
+        if self._holder is not None and self._holder.wants_ping(now):
+            self._wake.set()
+
     async def drain(self) -> None:
         """Announce draining; return when control has it or after 3 s."""
         await self._announce("draining", ("draining", "left"))
@@ -310,6 +322,7 @@
         if self._holder is not None:
             ping.demands = self._holder.demands(now)
             ping.shares = self._holder.held(now)
+            ping.raft_term = self._holder.raft_term
         if self._link is not None:
             self._link.send(ping)
 
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -113,6 +113,7 @@
             "daemon": session.name,
             "incarnation": session.incarnation,
             "applied": ping.applied_revision,
+            "raft_term": ping.raft_term,
         }
         if ping.demands:
             packed["demands"] = [dataclasses.astuple(item) for item in ping.demands]
