Start a lead only after it is confirmed, and drop late pings

Cause: a new leader could judge the directory and grant shares on a state that lacked changes accepted earlier, and a ping resent after a failover could report old shares after newer ones. Change: directory, grants and slots wait for the first confirmed read of a term; pings carry their sequence and late ones get no answer. The admin client speaks TLS, changes are logged with the operator. Conclusion: a stopped leader does not make a daemon stale in the new test.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -141,6 +141,9 @@
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen(command, stderr=log, stdout=log)
 
+    def send_signal(self, number):
+        self._process.send_signal(number)
+
     def end(self, number=signal.SIGKILL):
         """Send a signal, wait for the end and return the exit status."""
         if self._process is None:
--- a/tests/test_controlprocesses.py
+++ b/tests/test_controlprocesses.py
@@ -137,6 +137,54 @@
     assert all(watch.state.to_json() == watches[0].state.to_json() for watch in watches)
 
 
+def test_silent_leader_is_left_and_its_old_state_not_served(tmp_path):
+    """Guards against a stopped or cut-off leader that keeps daemons on old keys."""
+
+    async def test(fleet):
+        name = await fleet.leader()
+        number = list(fleet.members).index(name)
+        addresses = list(fleet.members.values())
+        watches = [
+            helpers.make_watch(f"t{turn}", addresses[turn:] + addresses[:turn])
+            for turn in range(3)
+        ]
+        for watch in watches:
+            watch.start()
+        loop = asyncio.get_running_loop()
+        await helpers.eventually(lambda: all(w.is_fresh(loop.time()) for w in watches))
+        stale = []
+        sampler = asyncio.create_task(sample(watches, stale))
+        fleet.processes[name].send_signal(signal.SIGSTOP)
+        item = {"name": "a", "rate": 1.0, "burst": 1.0}
+        fields = {"expected_revision": 0, "item": item}
+        client = fleet.client((number + 1) % 3)
+        answered = await asyncio.to_thread(
+            client.change, "PUT", "/v1/accounts/a", fields
+        )
+        revision = answered.unwrap()["revision"]
+        await helpers.eventually(
+            lambda: all(watch.state.revision >= revision for watch in watches), 2
+        )
+        fleet.processes[name].send_signal(signal.SIGCONT)
+        listed = await fleet.read("/v1/accounts", number)
+        assert listed["confirmed"]
+        assert [found["name"] for found in listed["accounts"]] == ["a"]
+        sampler.cancel()
+        assert stale == []
+        for watch in watches:
+            await watch.stop()
+
+    scenario(tmp_path, test)
+
+
+async def sample(watches, stale):
+    """Note the watches that are not fresh at any time."""
+    loop = asyncio.get_running_loop()
+    while True:
+        stale += [watch for watch in watches if not watch.is_fresh(loop.time())]
+        await asyncio.sleep(0.02)
+
+
 def test_planned_stop_hands_over_and_replaced_member_catches_up(tmp_path):
     """Guards against a member with an empty disk that votes as the one it replaces."""
 
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -25,7 +25,7 @@
     for number in range(round((end - start) / step)):
         now = start + number * step
         for name in pinging:
-            known.on_ping(now, name, 1, 0)
+            known.on_ping(now, name, 1, number, 0)
         lost = known.lost(now, state)
         losses += [now for _ in lost]
         mark(state, lost)
@@ -61,12 +61,15 @@
     assert known.lost(30.0, state) == []
 
 
-def test_ping_of_an_old_incarnation_does_not_count():
+def test_late_ping_and_old_incarnation_do_not_count():
     state, known = fleet(1), liveness.Liveness()
     known.on_lead(0.0)
     state.targets["t0"].incarnation = 2
-    known.on_ping(1.0, "t0", 2, 5)
-    known.on_ping(2.0, "t0", 1, 9)
+    assert known.on_ping(1.0, "t0", 2, 4, 5)
+    assert not known.on_ping(2.0, "t0", 1, 9, 9)
+    assert not known.on_ping(2.0, "t0", 2, 3, 9)
+    assert known.on_ping(5.0, "t0", 1, 10, 9)
+    known.on_ping(5.1, "t0", 2, 5, 5)
     assert known.applied_revision(state.targets["t0"]) == 5
     assert known.laggards(state, 6) == ["t0"]
     assert known.laggards(state, 5) == []
@@ -86,10 +89,10 @@
     state, known, now = fleet(6), liveness.Liveness(), 0.0
     known.on_lead(now)
     pinged = dict.fromkeys(state.targets, 0.0)
-    for kind, number, seconds in steps:
+    for at, (kind, number, seconds) in enumerate(steps):
         now += seconds
         if kind == "ping":
-            known.on_ping(now, f"t{number}", 1, 0)
+            assert known.on_ping(now, f"t{number}", 1, at, 0)
             pinged[f"t{number}"] = now
             continue
         lost = known.lost(now, state)
--- a/toucanfold/admin.py
+++ b/toucanfold/admin.py
@@ -41,6 +41,9 @@
 flags.DEFINE_integer(
     "wait_ms", 5000, "Longest wait for a change to be in force.", flag_values=FLAGS
 )
+flags.DEFINE_string(
+    "authority", "", "CA file (PEM) if the listeners use TLS.", flag_values=FLAGS
+)
 flags.DEFINE_bool(
     "force",
     False,
@@ -229,7 +232,8 @@
         return cmdline.fail("no address is given", "use --address=HOST:PORT,...")
     try:
         credential = debug.read_credential(FLAGS.credential_file)
-        client = adminclient.Client(FLAGS.address, credential)
+        tls = adminclient.tls_context(FLAGS.authority)
+        client = adminclient.Client(FLAGS.address, credential, tls)
         answered = ACTIONS[words[0]](client, words)
     except (UsageError, OSError) as error:
         return cmdline.fail(str(error), "see toucanfold admin --help")
--- a/toucanfold/adminapi.py
+++ b/toucanfold/adminapi.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from absl import logging
 from returns import result
 
 from toucanfold import (
@@ -102,7 +103,10 @@
         for method, pattern, endpoint in self._endpoints:
             match = pattern.fullmatch(request.path)
             if match is not None and method == request.method:
-                return await self._timed(endpoint, request, match)
+                response = await self._timed(endpoint, request, match)
+                if request.method != "GET":
+                    _log_change(operator, request, response.status)
+                return response
             if match is not None:
                 allowed.append(method)
         if allowed:
@@ -328,6 +332,13 @@
     return f"tfk_{parts[0][:12]}_{parts[1][:40]}"
 
 
+def _log_change(operator: str, request: Request, status: int) -> None:
+    """Log who changed what; bodies stay out since they hold seeds of keys."""
+    logging.info(
+        "operator %s: %s %s answered %d", operator, request.method, request.path, status
+    )
+
+
 def _bad_request(message: str) -> exceptions.HttpError:
     return exceptions.HttpError(400, "bad_request", message, "see admin-api.md")
 
--- a/toucanfold/adminclient.py
+++ b/toucanfold/adminclient.py
@@ -1,9 +1,11 @@
 """Blocking client of the operators' API, which resends safely."""
 
 import base64
+import contextlib
 import json
 import secrets
 import socket
+import ssl
 import time
 from typing import Any
 
@@ -27,13 +29,18 @@
     return secrets.token_hex(12)
 
 
+def tls_context(authority: str) -> ssl.SSLContext | None:
+    """Return a context that trusts a CA file, None for an empty name (no TLS)."""
+    return ssl.create_default_context(cafile=authority) if authority else None
+
+
 def fetch(
     address: str,
     method: str,
     path: str,
     fields: dict[str, Any] | None = None,
     credential: str = "",
-    timeout_s: float = TIMEOUT_S,
+    tls: ssl.SSLContext | None = None,
 ) -> tuple[int, Any]:
     """Send one request; return status and JSON value, raise OSError without one."""
     body = b"" if fields is None else json.dumps(fields).encode()
@@ -42,7 +49,12 @@
         encoded = base64.b64encode(credential.encode()).decode()
         headers.append(("Authorization", f"Basic {encoded}"))
     connection = h11.Connection(h11.CLIENT)
-    with socket.create_connection(link.split_address(address), timeout_s) as opened:
+    host, port = link.split_address(address)
+    with contextlib.ExitStack() as stack:
+        opened = stack.enter_context(socket.create_connection((host, port), TIMEOUT_S))
+        if tls is not None:
+            secured = tls.wrap_socket(opened, server_hostname=host)
+            opened = stack.enter_context(secured)
         request = h11.Request(method=method, target=path, headers=headers)
         for event in (request, h11.Data(data=body), h11.EndOfMessage()):
             opened.sendall(connection.send(event) or b"")
@@ -75,10 +87,15 @@
     if an answer is lost.
     """
 
-    def __init__(self, addresses: list[str], credential: str, pause_s: float = PAUSE_S):
+    def __init__(
+        self,
+        addresses: list[str],
+        credential: str,
+        tls: ssl.SSLContext | None = None,
+    ):
         self._addresses = addresses
         self._credential = credential
-        self._pause_s = pause_s
+        self._tls = tls
 
     def read(self, path: str) -> Answer:
         """Get a resource."""
@@ -94,9 +111,11 @@
         for attempt in range(ATTEMPTS):
             address = self._addresses[attempt % len(self._addresses)]
             if attempt >= len(self._addresses):
-                time.sleep(self._pause_s)
+                time.sleep(PAUSE_S)
             try:
-                status, value = fetch(address, method, path, fields, self._credential)
+                status, value = fetch(
+                    address, method, path, fields, self._credential, self._tls
+                )
             except OSError as error:
                 problem = exceptions.LinkError(
                     f"no answer from {address}: {error}", _resend_remedy(fields)
--- a/toucanfold/debug.py
+++ b/toucanfold/debug.py
@@ -17,6 +17,9 @@
     "File with operator:secret, needed by control instances.",
     flag_values=FLAGS,
 )
+flags.DEFINE_string(
+    "authority", "", "CA file (PEM) if the listener uses TLS.", flag_values=FLAGS
+)
 TEXT = "Prints the state of a daemon or a control instance as JSON."
 
 
@@ -36,8 +39,9 @@
         return cmdline.fail("no address is given", "use --address=HOST:PORT")
     try:
         credential = read_credential(FLAGS.credential_file)
+        tls = adminclient.tls_context(FLAGS.authority)
         status, value = adminclient.fetch(
-            FLAGS.address, "GET", "/debug", None, credential
+            FLAGS.address, "GET", "/debug", None, credential, tls
         )
     except OSError as error:
         cmdline.fail(f"no state dump: {error}", "check the address and the file")
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -131,7 +131,7 @@
 
     async def handle(self, kind: str, payload: Payload) -> Reply:
         """Answer one request; NotLeaderError if this instance does not lead."""
-        if not self._replica.is_leader:
+        if not await self._has_lead():
             return _not_leader(self._replica.leader)
         handler = self._handlers.get(kind)
         if handler is None:
@@ -141,7 +141,6 @@
                     "run the same version on all control instances",
                 )
             )
-        self._check_lead()
         return await handler(payload)
 
     async def run(self) -> None:
@@ -149,8 +148,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             try:
-                self._check_lead()
-                if self._replica.is_leader:
+                if await self._has_lead():
                     self._mark_lost()
                     self._plan_slots()
             except Exception:
@@ -228,11 +226,15 @@
 
     async def _on_pings(self, payload: Payload) -> Reply:
         now = asyncio.get_running_loop().time()
-        grants: list[list[Any]] = []
+        # Grants for each ping; None for a late ping, which gets no answer.
+        grants: list[list[Any] | None] = []
         for ping in payload["pings"]:
-            self._liveness.on_ping(
-                now, ping["daemon"], ping["incarnation"], ping["applied"]
-            )
+            name, incarnation = ping["daemon"], ping["incarnation"]
+            if not self._liveness.on_ping(
+                now, name, incarnation, ping["sequence"], ping["applied"]
+            ):
+                grants.append(None)
+                continue
             if ping.get("announcement"):
                 self._announce(ping["announcement"])
             shares = self._grant(now, ping)
@@ -243,7 +245,7 @@
         if isinstance(confirmed, result.Failure):
             return confirmed
         if self._replica.term != term:
-            grants = [[] for _ in grants]
+            return _not_leader(self._replica.leader)
         return result.Success(
             {"revision": self._store.revision, "term": term, "grants": grants}
         )
@@ -309,19 +311,32 @@
         elif not proposed.unwrap()[1]["ok"]:
             logging.warning("%s refused: %s", label, proposed.unwrap()[1]["message"])
 
-    def _check_lead(self) -> None:
+    async def _has_lead(self) -> bool:
+        """Whether this instance leads; starts a new lead once it is confirmed.
+
+        Before that the state may lack changes which an earlier leader accepted.
+        """
+        term = self._replica.term
         if not self._replica.is_leader:
             self._led_term = -1
-            return
-        if self._led_term == self._replica.term:
-            return
-        self._led_term = self._replica.term
+            return False
+        if self._led_term == term:
+            return True
+        confirmed = await self._replica.confirm_read()
+        if isinstance(confirmed, result.Failure) or self._replica.term != term:
+            return False
+        if self._led_term != term:
+            self._start_lead(term)
+        return True
+
+    def _start_lead(self, term: int) -> None:
+        self._led_term = term
         self._planned_revision = -1
         now = asyncio.get_running_loop().time()
-        logging.info("leading control in term %d", self._led_term)
+        logging.info("leading control in term %d", term)
         self._liveness.on_lead(now)
         if self._grantor is not None:
-            self._grantor.on_lead(now, self._led_term, self._store.state)
+            self._grantor.on_lead(now, term, self._store.state)
 
     def _on_state(self) -> None:
         # The loop's clock, which is not at hand when a snapshot is restored at start.
--- a/toucanfold/liveness.py
+++ b/toucanfold/liveness.py
@@ -22,6 +22,7 @@
     """Last ping of a daemon."""
 
     incarnation: int
+    sequence: int
     applied_revision: int
     at: float
 
@@ -45,15 +46,31 @@
         self._checked_at = now
 
     def on_ping(
-        self, now: float, name: str, incarnation: int, applied_revision: int
-    ) -> None:
-        """Note a ping; one of an older incarnation does not hide a newer one."""
+        self,
+        now: float,
+        name: str,
+        incarnation: int,
+        sequence: int,
+        applied_revision: int,
+    ) -> bool:
+        """Note a ping; False if it is older than one that was handled.
+
+        A ping can come late, since instances send it again when they lost the leader.
+        """
         seen = self._seen.get(name)
         if seen is not None and seen.incarnation == incarnation:
-            applied_revision = max(applied_revision, seen.applied_revision)
-        elif seen is not None and seen.incarnation > incarnation:
-            return
-        self._seen[name] = Seen(incarnation, applied_revision, now)
+            is_late = sequence <= seen.sequence
+        else:
+            # After a silence the older one counts: its host's clock was set back.
+            is_late = (
+                seen is not None
+                and seen.incarnation > incarnation
+                and now - seen.at <= LOST_AFTER_S
+            )
+        if is_late:
+            return False
+        self._seen[name] = Seen(incarnation, sequence, applied_revision, now)
+        return True
 
     def lost(self, now: float, state: model.FleetState) -> list[model.Target]:
         """Return the targets to mark lost now, within the limit per service."""
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from toucanfold import config, link, messages, model, watchstate
+from toucanfold import link, messages, model, watchstate
 
 PING_S = 0.5
 # An applied change is confirmed at once, but not more often than this.
@@ -55,26 +55,6 @@
     return (time.time_ns() // 1_000_000 << 22) | secrets.randbits(22)
 
 
-def from_settings(
-    settings: config.Settings,
-    identity: link.Identity,
-    holder: Holder | None = None,
-    tls: ssl.SSLContext | None = None,
-) -> "Watch":
-    """Return the watch of a daemon; the identity needs a rising incarnation."""
-    announcement = messages.Announcement(
-        name=identity.name,
-        incarnation=identity.incarnation,
-        service=settings.get("daemon", "service"),
-        region=identity.region,
-        data_centre=identity.data_centre,
-        link_address=settings.get("daemon", "link_advertise")
-        or settings.get("daemon", "link_listen"),
-    )
-    addresses = settings.get("daemon", "control")
-    return Watch(identity, addresses, announcement, holder, tls)
-
-
 class Watch:
     """Task that keeps the fleet state; use ``state``, ``is_fresh`` and ``subscribe``.
 
@@ -204,10 +184,15 @@
 
     async def _run(self) -> None:
         while True:
-            if not await self._connect():
+            try:
+                if await self._connect():
+                    await self._converse()
+                else:
+                    await asyncio.sleep(RETRY_S)
+            except Exception:
+                # The daemon must not stay stale for ever because of one fault.
+                logging.exception("the watch failed")
                 await asyncio.sleep(RETRY_S)
-                continue
-            await self._converse()
             if self._link is not None:
                 self._link.close("moving to another control instance")
                 self._link = None
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -106,12 +106,14 @@
             logging.warning("revision %d is not applied here", reply["revision"])
             return
         for (session, ping), grants in zip(batch, reply["grants"], strict=True):
-            session.link.send(self._pong(ping, reply["term"], grants))
+            if grants is not None:
+                session.link.send(self._pong(ping, reply["term"], grants))
 
     def _pack(self, session: Session, ping: messages.WatchPing) -> dict[str, Any]:
         packed: dict[str, Any] = {
             "daemon": session.name,
             "incarnation": session.incarnation,
+            "sequence": ping.sequence,
             "applied": ping.applied_revision,
         }
         if ping.demands:
