--- a/toucanfold/exceptions.py
+++ b/toucanfold/exceptions.py
@@ -120,6 +120,7 @@
         self.retry_after_s = 0.0
         self.request_id = ""
         self.attempts = 1
+        self.cuts = 0
 
 
 class ConnectionFailedError(CallError):
@@ -156,3 +157,7 @@
 
 class TargetFailedError(RefusedError):
     """The target failed or answered with an error."""
+
+
+class DemoError(ToucanfoldError):
+    """A step of the demonstration did not show what it should."""
