Grant rate shares from the leader

Cause: the grantor needs the raft term of a ping, and must know of a loss before it is proposed. Change: pings carry the term to the leader; a target that is marked lost gets no share from then on.

--- a/toucanfold/adminclient.py
+++ b/toucanfold/adminclient.py
@@ -41,6 +41,7 @@
     fields: dict[str, Any] | None = None,
     credential: str = "",
     tls: ssl.SSLContext | None = None,
+    timeout_s: float = TIMEOUT_S,
 ) -> tuple[int, Any]:
     """Send one request; return status and JSON value, raise OSError without one."""
     body = b"" if fields is None else json.dumps(fields).encode()
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -84,6 +84,7 @@
         now: float,
         daemon: str,
         incarnation: int,
+        raft_term: int,
         demands: list[messages.Demand],
         shares: list[messages.Share],
     ) -> list[messages.Share]:
@@ -257,6 +258,7 @@
             now,
             ping["daemon"],
             ping["incarnation"],
+            ping["raft_term"],
             [messages.Demand(*fields) for fields in ping.get("demands", ())],
             [messages.Share(*fields) for fields in ping.get("shares", ())],
         )
@@ -272,6 +274,9 @@
         now = asyncio.get_running_loop().time()
         for target in self._liveness.lost(now, self._store.state):
             logging.warning("target %s is lost: no ping", target.name)
+            if self._grantor is not None:
+                # It must get no share while the loss is committed.
+                self._grantor.on_ended(now, target.name, target.incarnation)
             command = commands.SetTargetState(
                 name=target.name, incarnation=target.incarnation, state="lost"
             )
--- a/toucanfold/localfleet.py
+++ b/toucanfold/localfleet.py
@@ -125,7 +125,7 @@
                     "/v1/status",
                     None,
                     self._credential,
-                    2.0,
+                    timeout_s=2.0,
                 )
             except OSError:
                 continue
