--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,264 @@
+import collections
+import math
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from toucanfold import admission, calls
+
+LATE, OVERLOADED = calls.Kind.DEADLINE_EXCEEDED, calls.Kind.OVERLOADED
+LENGTH, TIME_S, SERVICE_S = 8, 0.5, 0.02
+
+
+def ticket(
+    call_id, now, account="a", weight=1.0, rank=1, depth=0, priority=0, left=9.0
+):
+    return admission.Ticket(
+        call_id, account, weight, rank, depth, 0.0, priority, now + left, now
+    )
+
+
+class NaiveQueue:
+    """Sorts all tickets anew for each decision."""
+
+    def __init__(self):
+        self.tickets = []
+        self.virtual = collections.defaultdict(float)
+        self.starts = collections.defaultdict(float)
+
+    @staticmethod
+    def band(item):
+        return item.rank, item.depth == 0
+
+    def start(self, item):
+        return self.starts[self.band(item), item.account]
+
+    def add(self, item):
+        band = self.band(item)
+        if not any(
+            self.band(t) == band and t.account == item.account for t in self.tickets
+        ):
+            key = band, item.account
+            self.starts[key] = max(self.virtual[band], self.starts[key])
+        self.tickets.append(item)
+
+    def drop_late(self, now):
+        late = [t for t in self.tickets if now + SERVICE_S > t.deadline]
+        old = [t for t in self.tickets if t.rank and now - t.enqueued_at > TIME_S]
+        refused = [(t, LATE) for t in late]
+        refused += [(t, OVERLOADED) for t in old if t not in late]
+        self.tickets = [t for t in self.tickets if t not in late and t not in old]
+        return refused
+
+    def victim(self, standing):
+        """Of the lowest class, the account most above its share."""
+        band = max(self.band(t) for t in self.tickets)
+        queued = [t for t in self.tickets if self.band(t) == band]
+        counts = collections.Counter(t.account for t in queued)
+        most = max(counts[t.account] / t.weight for t in queued)
+        flows = [t for t in queued if counts[t.account] / t.weight == most]
+        ends = [
+            [t for t in flows if t.account == name][0 if standing else -1]
+            for name in {t.account for t in flows}
+        ]
+        return ends
+
+    def take(self, standing):
+        band = min(self.band(t) for t in self.tickets)
+        queued = [t for t in self.tickets if self.band(t) == band]
+        first = min(self.start(t) for t in queued)
+        return [
+            [t for t in queued if t.account == name][-1 if standing else 0]
+            for name in {t.account for t in queued if self.start(t) == first}
+        ]
+
+    def charge(self, item):
+        band = self.band(item)
+        self.tickets.remove(item)
+        self.virtual[band] = max(self.virtual[band], self.start(item))
+        self.starts[band, item.account] += 1 / item.weight
+
+
+class QueueMachine(stateful.RuleBasedStateMachine):
+    """Guards against calls lost, given out twice, too late or out of order."""
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.number = 0.0, 0
+        self.queue = admission.Fair(LENGTH, TIME_S)
+        self.queue.take(0.0, SERVICE_S)
+        self.naive = NaiveQueue()
+        self.open, self.closed = set(), set()
+
+    def _close(self, item):
+        assert item.call_id in self.open
+        self.open.discard(item.call_id)
+        self.closed.add(item.call_id)
+
+    def _expect(self, refused, expected):
+        for item, _ in refused:
+            self._close(item)
+        pairs = {(item.call_id, kind) for item, kind in refused}
+        assert pairs == {(item.call_id, kind) for item, kind in expected}
+
+    @stateful.rule(
+        seconds=strategies.sampled_from([0.0, 0.004, 0.03, 0.1, 0.3]),
+        window=strategies.booleans(),
+    )
+    def advance(self, seconds, window):
+        self.now += seconds
+        if window:
+            level = self.queue.on_window(self.now)
+            assert calls.PRIORITY_LEVELS - 1 <= level <= calls.MAX_LEVEL
+
+    @stateful.rule(
+        account=strategies.sampled_from("abc"),
+        rank=strategies.integers(0, 3),
+        depth=strategies.integers(0, 1),
+        priority=strategies.sampled_from([0, 60, 127]),
+        left=strategies.sampled_from([0.01, 0.1, 2.0]),
+        wait=strategies.sampled_from([0.0, 0.0, 0.05, 0.6]),
+        count=strategies.integers(1, 4),
+    )
+    def offer(self, account, rank, depth, priority, left, wait, count):
+        weight = {"a": 1.0, "b": 2.0, "c": 0.5}[account]
+        for _ in range(count):
+            self.number += 1
+            item = ticket(
+                self.number, self.now, account, weight, rank, depth, priority, left
+            )
+            self._offer(item, wait)
+
+    def _offer(self, item, wait):
+        naive, standing = self.naive, self.queue.is_standing
+        ahead = sum(naive.band(t) <= naive.band(item) for t in naive.tickets)
+        wait_s = wait * (ahead / len(naive.tickets) if naive.tickets else 1)
+        above = item.rank > 0 and item.level > self.queue.level_of(item.account)
+        self.open.add(item.call_id)
+        refused = self.queue.offer(self.now, item, wait)
+        if above or (item.rank > 0 and wait_s > TIME_S):
+            late = self.now + wait_s + SERVICE_S > item.deadline and not above
+            self._expect(refused, [(item, LATE if late else OVERLOADED)])
+            return
+        if self.now + wait_s + SERVICE_S > item.deadline:
+            self._expect(refused, [(item, LATE)])
+            return
+        expected = naive.drop_late(self.now)
+        naive.add(item)
+        if len(naive.tickets) > LENGTH:
+            victim, kind = refused[-1]
+            assert kind is OVERLOADED
+            assert victim in naive.victim(standing)
+            assert victim.rank > 0 or all(t.rank == 0 for t in naive.tickets)
+            naive.tickets.remove(victim)
+            expected.append((victim, kind))
+        self._expect(refused, expected)
+
+    @stateful.rule(count=strategies.integers(1, 5))
+    def take(self, count):
+        for _ in range(count):
+            standing = self.queue.is_standing
+            item, refused = self.queue.take(self.now, SERVICE_S)
+            self._expect(refused, self.naive.drop_late(self.now))
+            if item is None:
+                assert not self.naive.tickets
+                return
+            self._close(item)
+            assert self.now + SERVICE_S <= item.deadline
+            assert item in self.naive.take(standing)
+            self.naive.charge(item)
+
+    @stateful.rule(index=strategies.integers(0, 99))
+    def remove(self, index):
+        if not self.naive.tickets:
+            assert self.queue.remove(-1) is None
+            return
+        item = self.naive.tickets.pop(index % len(self.naive.tickets))
+        assert self.queue.remove(item.call_id) is item
+        self._close(item)
+
+    @stateful.invariant()
+    def nothing_is_lost(self):
+        assert len(self.queue) == len(self.naive.tickets) == len(self.open)
+
+
+QueueMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+TestQueue = QueueMachine.TestCase
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.sampled_from([0.5, 1.0, 2.0, 5.0]), min_size=2, max_size=5
+    )
+)
+def test_backlogged_accounts_share_by_weight(weights):
+    """Guards against an account that gets more than its weight within a rank."""
+    queue = admission.Fair(length=10_000)
+    for index, weight in enumerate(weights):
+        for number in range(300):
+            item = ticket((index, number), 0.0, str(index), weight)
+            assert queue.offer(0.0, item, 0.0) == []
+    taken = collections.Counter(queue.take(0.0, 0.0)[0].account for _ in range(100))
+    served = [taken[str(index)] / weight for index, weight in enumerate(weights)]
+    assert max(served) - min(served) <= 1 / min(weights) + 1 / max(weights) + 1e-9
+
+
+def overload(accounts, capacity, seconds=8.0, service_s=0.05):
+    """Offer {account: calls/s} of normal class; return dispatched parts."""
+    queue = admission.Fair()
+    ends = dict.fromkeys(accounts, 0.0)
+    done, offered = collections.Counter(), collections.Counter()
+    next_take = next_window = 0.0
+    now, number = 0.0, 0
+    while now < seconds:
+        now += 0.001
+        for name, rate in accounts.items():
+            while ends[name] < now:
+                ends[name] += 1 / rate
+                number += 1
+                item = ticket(
+                    number, now, name, rank=2, priority=number * 37 % 128, left=1.0
+                )
+                offered[name] += now > 3.0
+                queue.offer(now, item, len(queue) / capacity)
+        while next_take < now:
+            next_take += 1 / capacity
+            item, _ = queue.take(now, service_s)
+            if item:
+                done[item.account] += now > 3.0
+        if now >= next_window:
+            next_window += admission.INTERVAL_S
+            queue.on_window(now)
+    return {name: done[name] / offered[name] for name in accounts}, queue
+
+
+def test_account_within_its_fair_share_keeps_its_calls():
+    """Guards against a class threshold that sheds small accounts with large ones."""
+    parts, queue = overload({"big": 700.0, "small": 60.0}, capacity=300.0)
+    assert parts["small"] >= 0.95
+    assert parts["big"] >= 0.95 * 240 / 700
+    assert queue.level_of("big") < calls.MAX_LEVEL
+    assert queue.level_of("small") == 3 * calls.PRIORITY_LEVELS - 1
+
+
+def test_threshold_opens_within_2_s_after_the_overload():
+    _, queue = overload({"big": 700.0}, capacity=300.0)
+    now = 8.0
+    while queue.take(now, 0.05)[0]:
+        pass
+    windows = 0
+    while queue.level_of("big") < calls.MAX_LEVEL:
+        now, windows = now + admission.INTERVAL_S, windows + 1
+        queue.on_window(now)
+        assert windows < 20
+    assert not math.isnan(now)
+
+
+def test_fifo_refuses_only_when_full():
+    queue = admission.Fifo(length=1)
+    first, second = ticket(1, 0.0), ticket(2, 0.0)
+    assert queue.offer(0.0, first, 9.0) == []
+    assert queue.offer(0.0, second, 0.0) == [(second, OVERLOADED)]
+    assert queue.take(99.0, 1.0) == (first, [])
--- /dev/null
+++ b/tests/test_pressure.py
@@ -0,0 +1,106 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from toucanfold import admission, calls, pressure
+
+
+class Hop:
+    """A daemon with its queue and what it learnt from the next hop."""
+
+    def __init__(self, capacity):
+        self.capacity = capacity
+        self.queue = admission.Fair()
+        self.learnt = pressure.LearntLevels()
+        self.refused = 0
+
+    def arrive(self, now, call_id, rank, depth, priority):
+        ticket = admission.Ticket(
+            call_id, "acme", 1.0, rank, depth, 0.0, priority, now + 1.0, now
+        )
+        refused = self.queue.offer(now, ticket, 0.0)
+        self.refused += len(refused)
+        return not refused
+
+    def level(self, now):
+        return self.learnt.combined(now, "acme", self.queue.level_of("acme"))
+
+
+def chain(seconds, capacities, rate, rng):
+    """Send normal calls through all hops; return the hops and verdicts by root."""
+    hops = [Hop(capacity) for capacity in capacities]
+    verdicts, now, number, debt = {}, 0.0, 0, [0.0] * len(hops)
+    while now < seconds:
+        now += 0.01
+        for _ in range(round(rate * 0.01)):
+            number += 1
+            priority = calls.priority_of(str(number))
+            verdicts[number] = walk(now, hops, number, priority, rng)
+        for index, hop in enumerate(hops):
+            debt[index] += hop.capacity * 0.01
+            while debt[index] >= 1:
+                debt[index] -= 1
+                hop.queue.take(now, 0.01)
+            if round(now * 100) % 10 == 0:
+                hop.queue.on_window(now)
+    return hops, verdicts
+
+
+def walk(now, hops, number, priority, rng):
+    """Return the index of the hop that refused the call, None if none did."""
+    level = 2 * calls.PRIORITY_LEVELS + priority
+    refused = None
+    for index, hop in enumerate(hops):
+        if not hop.learnt.admits(now, "acme", level, rng):
+            return index - 1
+        if not hop.arrive(now, number, 2, index, priority):
+            refused = index
+            break
+    last = len(hops) - 1 if refused is None else refused
+    for index in range(last, 0, -1):
+        hops[index - 1].learnt.on_answer(now, "acme", hops[index].level(now))
+    return refused
+
+
+def test_entry_refuses_for_a_constrained_deep_service():
+    """Guards against work at upper hops for calls that a deep one refuses."""
+    _, verdicts = chain(12.0, [2000, 2000, 2000, 300], 600, random.Random(1))
+    late = {n: v for n, v in verdicts.items() if n > 600 * 6}
+    refused = [v for v in late.values() if v is not None]
+    assert len(refused) > 0.3 * len(late)
+    assert sum(v == -1 for v in refused) > 0.85 * len(refused)
+    done = len(late) - len(refused)
+    assert done >= 0.9 * 300 * 6
+
+
+@hypothesis.given(strategies.text(max_size=20), strategies.integers(0, 3))
+def test_hops_with_equal_levels_give_one_verdict(root_id, rank):
+    """Guards against chains of which each hop sheds other requests."""
+    level = rank * calls.PRIORITY_LEVELS + calls.priority_of(root_id)
+    hops = [pressure.LearntLevels() for _ in range(3)]
+    for hop in hops:
+        for step in range(5):
+            hop.on_answer(step * 0.01, "acme", 300)
+    never = random.Random()
+    never.random = lambda: 1.0
+    verdicts = {hop.admits(0.04, "acme", level, never) for hop in hops}
+    assert verdicts == {rank == 0 or level <= hops[0].level(0.04, "acme")}
+
+
+def test_learnt_level_opens_in_1_s_without_news():
+    learnt = pressure.LearntLevels()
+    for step in range(50):
+        learnt.on_answer(step * 0.01, "acme", 128)
+    assert learnt.level(0.5, "acme") < 140
+    assert 128 < learnt.level(1.0, "acme") < calls.MAX_LEVEL
+    assert learnt.level(1.5, "acme") == calls.MAX_LEVEL
+    assert learnt.level(0.5, "other") == calls.MAX_LEVEL
+
+
+def test_some_calls_above_the_level_are_probes():
+    learnt = pressure.LearntLevels()
+    learnt.on_answer(0.0, "acme", 0)
+    rng = random.Random(1)
+    passed = sum(learnt.admits(0.0, "acme", 511, rng) for _ in range(10_000))
+    assert 50 <= passed <= 200
--- a/toucanfold/sharing.py
+++ b/toucanfold/sharing.py
@@ -58,6 +58,19 @@
     return math.inf
 
 
+def weighted_level(
+    total: float, loads: Sequence[float], weights: Sequence[float]
+) -> float:
+    """Return the level per weight at which loads per weight sum up to the total."""
+    left, weight = total, math.fsum(weights)
+    for load, own in sorted(zip(loads, weights, strict=True)):
+        if load * weight >= left:
+            return left / weight
+        left -= load * own
+        weight -= own
+    return math.inf
+
+
 def standing_burst(burst: float, daemons: int) -> float:
     """Return the capacity held by each idle daemon, zero if it is below one token."""
     part = burst * STANDING_PART / max(1, daemons)
