Learn the pressure of routes at the entry

Cause: the entry admitted every call, although answers carry the level of the services behind a route.

--- a/toucanfold/adminclient.py
+++ b/toucanfold/adminclient.py
@@ -52,7 +52,8 @@
     connection = h11.Connection(h11.CLIENT)
     host, port = link.split_address(address)
     with contextlib.ExitStack() as stack:
-        opened = stack.enter_context(socket.create_connection((host, port), TIMEOUT_S))
+        connecting = socket.create_connection((host, port), timeout_s)
+        opened = stack.enter_context(connecting)
         if tls is not None:
             secured = tls.wrap_socket(opened, server_hostname=host)
             opened = stack.enter_context(secured)
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -32,6 +32,7 @@
     parts,
     peers,
     plugins,
+    pressure,
     queueing,
     retries,
     router,
@@ -256,6 +257,7 @@
             self.forwarder,
             self.metrics,
             self.rng,
+            levels=pressure.LearntLevels(),
             rate=self._rate,
             serve_open_when_stale=self._get("serve_open_when_stale"),
         )
