Find routes and keys without walking the whole state

Cause: each request walked all routes of the fleet and computed an HMAC. Change: parts.Lookup keeps routes by service and valid keys until the revision changes; header fields are searched for keys once instead of one by one; a call lost with its link counts its attempts as spent. The choice of links is the router's, so peers no longer has one. Conclusion: the cost no longer grows with the number of routes.

--- a/toucanfold/egress.py
+++ b/toucanfold/egress.py
@@ -43,7 +43,7 @@
         max_depth: int,
     ):
         self.running = 0
-        self._source = source
+        self._lookup = parts.Lookup(source, b"")
         self._tokens = tokens
         self._forwarder = forwarder
         self._metrics = measured
@@ -117,18 +117,16 @@
         if headers.line_has_key(request.method, request.path):
             return _bad("the request line holds a key")
         service = entry.service_of(request.headers)
-        state = self._source.state
         path = request.path.partition("?")[0]
-        route = state.route_for(service, request.method, path)
-        profile = state.profiles.get(route.profile) if route is not None else None
-        if route is None or profile is None:
+        found = self._lookup.route(service, request.method, path)
+        if found is None:
             return calls.Refusal(
                 calls.Kind.NO_ROUTE, message=f"no route for service {service!r}"
             )
         timeout_ms = entry.read_timeout_ms(request.headers)
         if timeout_ms is None:
             return _bad("Toucanfold-Timeout-Ms must be a positive number")
-        child = Child(token, route, profile)
+        child = Child(token, *found)
         child.timeout_ms = timeout_ms
         key = headers.find(request.headers, b"idempotency-key") or b""
         if len(key) > entry.MAX_IDEMPOTENCY_KEY_BYTES or headers.has_key(key):
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -64,7 +64,7 @@
         self.running = 0
         self.stopping = False
         self._source = source
-        self._secret = fleet_secret
+        self._lookup = parts.Lookup(source, fleet_secret)
         self._forwarder = forwarder
         self._metrics = measured
         self._rng = rng
@@ -110,14 +110,11 @@
         if headers.line_has_key(request.method, request.path):
             return _bad("the request line holds a key; send it as a header")
         service = service_of(request.headers)
-        state = self._source.state
         path = request.path.partition("?")[0]
-        route = state.route_for(service, request.method, path)
-        if route is None:
-            return self._without_route(service)
-        profile = state.profiles.get(route.profile)
-        if profile is None:
+        found = self._lookup.route(service, request.method, path)
+        if found is None:
             return self._without_route(service)
+        route, profile = found
         if not self._is_served(route):
             return calls.Refusal(
                 calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
@@ -153,7 +150,7 @@
             return _bad("the request holds different keys")
         if found:
             text = found.pop().decode("latin-1")
-            admitted.account = self._source.state.account_of(text, self._secret)
+            admitted.account = self._lookup.account(text)
         if admitted.account is None and not admitted.route.open:
             message = "the key is not valid" if shaped or found else "no key was sent"
             return calls.Refusal(calls.Kind.KEY_REFUSED, message=message)
--- a/toucanfold/headers.py
+++ b/toucanfold/headers.py
@@ -58,7 +58,7 @@
     names: set[bytes] = set()
     for name, value in headers:
         if name == b"connection":
-            names.update(part.strip().lower() for part in value.split(b","))
+            names.update([part.strip().lower() for part in value.split(b",")])
     return names
 
 
@@ -86,32 +86,37 @@
 def for_target(headers: calls.Headers, keep_length: bool) -> calls.Headers:
     """Return a caller's fields without keys and hop-by-hop fields."""
     named = named_by_connection(headers)
-    kept = []
-    for name, value in headers:
-        if name in NEVER_TO_TARGET or name in named:
-            continue
-        if name == b"content-length" and not keep_length:
-            continue
-        if not (has_key(value) or has_key(name)):
-            kept.append((name, value))
-    return kept
+    kept = [
+        item
+        for item in headers
+        if item[0] not in NEVER_TO_TARGET
+        and item[0] not in named
+        and (keep_length or item[0] != b"content-length")
+    ]
+    if not any_has_key(kept):
+        return kept
+    return [item for item in kept if not (has_key(item[1]) or has_key(item[0]))]
+
+
+def any_has_key(headers: calls.Headers) -> bool:
+    """Whether text that may be a key stands in any of the fields."""
+    joined = b"\n".join([part for item in headers for part in item])
+    return KEY_MARK in joined.lower()
 
 
 def for_caller(headers: calls.Headers) -> calls.Headers:
     """Return a target's fields without those that belong to one connection."""
     named = named_by_connection(headers)
     return [
-        (name, value)
-        for name, value in headers
-        if name not in NEVER_TO_CALLER and name not in named
+        item
+        for item in headers
+        if item[0] not in NEVER_TO_CALLER and item[0] not in named
     ]
 
 
 def keys_in(headers: calls.Headers) -> set[bytes]:
     """Return all different texts shaped like a key in names and values."""
-    found: set[bytes] = set()
-    for name, value in headers:
-        for text in (name, value):
-            if has_key(text):
-                found.update(model.KEY_PATTERN.findall(text))
-    return found
+    joined = b"\n".join([part for item in headers for part in item])
+    if KEY_MARK not in joined.lower():
+        return set()
+    return set(model.KEY_PATTERN.findall(joined))
--- a/toucanfold/linkcalls.py
+++ b/toucanfold/linkcalls.py
@@ -105,10 +105,11 @@
 class _Outgoing:
     """A call sent to the peer."""
 
-    __slots__ = ("answer", "pump", "receiver", "sender", "timer")
+    __slots__ = ("answer", "attempts", "pump", "receiver", "sender", "timer")
 
-    def __init__(self, answer: "asyncio.Future[calls.Answer]"):
+    def __init__(self, answer: "asyncio.Future[calls.Answer]", attempts: int):
         self.answer = answer
+        self.attempts = attempts
         self.sender: _Sender | None = None
         self.pump: asyncio.Task[None] | None = None
         self.receiver: _Receiver | None = None
@@ -165,7 +166,7 @@
         call_id = next(self._ids)
         if not self.link.send(to_message(call, call_id, now)):
             return calls.refuse(calls.Kind.NO_TARGET, "the link was lost")
-        entry = _Outgoing(self._loop.create_future())
+        entry = _Outgoing(self._loop.create_future(), call.attempts_left)
         self._outgoing[call_id] = entry
         entry.timer = self._loop.call_at(
             call.deadline + ANSWER_GRACE_S, self._on_late, call_id
@@ -212,7 +213,10 @@
         if entry.receiver is not None:
             entry.receiver.stream.abort(message)
         if not entry.answer.done():
-            entry.answer.set_result(calls.refuse(kind, message, calls.Outcome.UNKNOWN))
+            lost = calls.refuse(kind, message, calls.Outcome.UNKNOWN)
+            # The peer may have spent them all, and the sum must not grow.
+            lost.attempts_spent = entry.attempts
+            entry.answer.set_result(lost)
 
     def _on_late(self, call_id: int) -> None:
         self.link.send(messages.Cancel(call_id))
--- a/toucanfold/parts.py
+++ b/toucanfold/parts.py
@@ -58,6 +58,58 @@
         self.events.append("leave")
 
 
+class Lookup:
+    """Routes and keys of the newest state, found without walking all of them.
+
+    What was found is kept until the state's revision changes.
+    """
+
+    __slots__ = ("_accounts", "_revision", "_routes", "_secret", "_source")
+
+    def __init__(self, source: StateSource, fleet_secret: bytes):
+        self._source = source
+        self._secret = fleet_secret
+        self._revision = -1
+        self._routes: dict[str, list[model.Route]] = {}
+        self._accounts: dict[str, model.Account] = {}
+
+    def route(
+        self, service: str, method: str, path: str
+    ) -> tuple[model.Route, model.Profile] | None:
+        """Return the route of a request and its profile."""
+        self._follow()
+        for route in self._routes.get(service, ()):
+            if path.startswith(route.path_prefix) and route.method in ("*", method):
+                profile = self._source.state.profiles.get(route.profile)
+                return None if profile is None else (route, profile)
+        return None
+
+    def account(self, key: str) -> model.Account | None:
+        """Return the account of a key that is valid now."""
+        self._follow()
+        found = self._accounts.get(key)
+        if found is None:
+            found = self._source.state.account_of(key, self._secret)
+            if found is not None:
+                # Only valid keys are kept, so callers cannot make this grow.
+                self._accounts[key] = found
+        return found
+
+    def _follow(self) -> None:
+        state = self._source.state
+        if state.revision == self._revision:
+            return
+        self._revision = state.revision
+        self._accounts = {}
+        self._routes = {}
+        # The order in which model.FleetState.route_for prefers routes.
+        for route in sorted(
+            state.routes.values(),
+            key=lambda item: (-len(item.path_prefix), item.method == "*"),
+        ):
+            self._routes.setdefault(route.service, []).append(route)
+
+
 class Levels(Protocol):
     """Pressure learnt from answers, per route; pressure.LearntLevels is one."""
 
--- a/toucanfold/peers.py
+++ b/toucanfold/peers.py
@@ -1,7 +1,6 @@
 """Links to other daemons: which are open, when they close, and calls over them."""
 
 import asyncio
-import hashlib
 import ssl
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -11,7 +10,6 @@
 
 from toucanfold import calls, link, linkcalls, messages, model
 
-LINKS_PER_SERVICE = 8
 IDLE_LIMIT_S = 60.0
 SWEEP_S = 1.0
 FIRST_PAUSE_S = 0.05
@@ -39,27 +37,6 @@
         self.retry_at = 0.0
 
 
-def choose_links(
-    own: model.Target, targets: list[model.Target], limit: int = LINKS_PER_SERVICE
-) -> list[model.Target]:
-    """Return the targets to keep links with: nearest first, then by rendezvous hash.
-
-    The hash spreads the links of all daemons evenly and changes few of them when a
-    target joins or leaves.
-    """
-
-    def order(target: model.Target) -> tuple[int, bytes]:
-        distance = 2
-        if target.region == own.region:
-            distance = 0 if target.data_centre == own.data_centre else 1
-        text = f"{own.name}\0{target.name}".encode()
-        return distance, hashlib.blake2b(text, digest_size=8).digest()
-
-    usable = (item for item in targets if item.state == "up")
-    others = (item for item in usable if item.name != own.name)
-    return sorted(others, key=order)[:limit]
-
-
 class Peers:
     """Opens, keeps and closes links, and runs calls over them."""
 
