--- a/toucanfold/admin.py
+++ b/toucanfold/admin.py
@@ -41,6 +41,15 @@
 flags.DEFINE_integer(
     "wait_ms", 5000, "Longest wait for a change to be in force.", flag_values=FLAGS
 )
+flags.DEFINE_string(
+    "authority", "", "CA file (PEM) if the listeners use TLS.", flag_values=FLAGS
+)
+flags.DEFINE_bool(
+    "force",
+    False,
+    "Change members although the reachable voters are no quorum afterwards.",
+    flag_values=FLAGS,
+)
 TEXT = """Commands (ITEM is JSON text, or @FILE, or @- for standard input):
 
   profile|route|account list
@@ -55,7 +64,9 @@
   target ended NAME            confirms that the process has ended for good
   member list
   member add NAME ADDRESS
+  member replace NAME ADDRESS  the new instance has the same name and an empty disk
   member remove NAME
+  member transfer              hands the lead to another member
   status
   histograms
   wait REVISION                waits until the revision is in force"""
@@ -174,13 +185,18 @@
     match words:
         case ["member", "list"]:
             return client.read("/v1/members")
-        case ["member", "add", name, address]:
-            fields = {"action": "add", "name": name, "address": address}
+        case ["member", ("add" | "replace") as action, name, address]:
+            fields = {"action": action, "name": name, "address": address}
+            fields["force"] = FLAGS.force
             return _change(client, "POST", "/v1/members", fields)
         case ["member", "remove", name]:
-            fields = {"action": "remove", "name": name}
+            fields = {"action": "remove", "name": name, "force": FLAGS.force}
             return _change(client, "POST", "/v1/members", fields)
-    raise UsageError("use list, add NAME ADDRESS or remove NAME")
+        case ["member", "transfer"]:
+            return _change(client, "POST", "/v1/transfer", {})
+    raise UsageError(
+        "use list, add NAME ADDRESS, replace NAME ADDRESS, remove NAME or transfer"
+    )
 
 
 def _others(client: adminclient.Client, words: list[str]) -> Answer:
@@ -216,7 +232,8 @@
         return cmdline.fail("no address is given", "use --address=HOST:PORT,...")
     try:
         credential = debug.read_credential(FLAGS.credential_file)
-        client = adminclient.Client(FLAGS.address, credential)
+        tls = adminclient.tls_context(FLAGS.authority)
+        client = adminclient.Client(FLAGS.address, credential, tls)
         answered = ACTIONS[words[0]](client, words)
     except (UsageError, OSError) as error:
         return cmdline.fail(str(error), "see toucanfold admin --help")
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -12,6 +12,8 @@
 from toucanfold import link, messages, model, watchstate
 
 PING_S = 0.5
+# An applied change is confirmed at once, but not more often than this.
+MIN_PING_S = 0.1
 SILENCE_S = 0.9
 # Pause before another round after all instances failed.
 RETRY_S = 0.2
@@ -29,6 +31,12 @@
 class Holder(Protocol):
     """What the watch needs of limits.Holder."""
 
+    # The newest term whose grants were taken.
+    raft_term: int
+
+    def wants_ping(self, now: float) -> bool:
+        """Whether a ping before the regular one would help."""
+
     def demands(self, now: float) -> list[messages.Demand]:
         """Return what the daemon would spend."""
 
@@ -73,6 +81,7 @@
         self._holder = holder
         self._tls = tls
         self._known = watchstate.WatchState()
+        self.state = self._known.state
         self._callbacks: list[Callback] = []
         self._link: link.Link | None = None
         self._address = ""
@@ -84,11 +93,6 @@
         self._moves = 0
         self._returning: asyncio.Task[None] | None = None
 
-    @property
-    def state(self) -> model.FleetState:
-        """The last applied fleet state."""
-        return self._known.state
-
     def is_fresh(self, now: float) -> bool:
         """Whether callers' requests may be accepted (now is the loop's time)."""
         return self._known.is_fresh(now)
@@ -101,6 +105,12 @@
         """Start the task."""
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def ping_soon(self) -> None:
+        """Send the next ping now if the holder of shares needs an answer."""
+        now = asyncio.get_running_loop().time()
+        if self._holder is not None and self._holder.wants_ping(now):
+            self._wake.set()
+
     async def drain(self) -> None:
         """Announce draining; return when control has it or after 3 s."""
         await self._announce("draining", ("draining", "left"))
@@ -147,13 +157,12 @@
         sent_at = self._known.on_pong(now, message)
         if self._known.revision != before:
             self._publish(now)
+            # Confirm the revision, or ask for the rest if it did not fit into a pong.
+            self._wake.set()
         if sent_at is not None:
             self._answered_at = now
             if self._holder is not None:
                 self._holder.on_grants(now, sent_at, message.raft_term, message.shares)
-        elif before < self._known.revision < message.revision:
-            # The change did not fit into one pong: ask for the rest at once.
-            self._wake.set()
 
     def on_close(self, closed: link.Link, reason: str) -> None:
         """Wake the task to open another link."""
@@ -161,6 +170,7 @@
             self._wake.set()
 
     def _publish(self, now: float) -> None:
+        self.state = self._known.state
         if self._holder is not None:
             self._holder.on_state(now, self.state)
         for callback in self._callbacks:
@@ -186,10 +196,15 @@
 
     async def _run(self) -> None:
         while True:
-            if not await self._connect():
+            try:
+                if await self._connect():
+                    await self._converse()
+                else:
+                    await asyncio.sleep(RETRY_S)
+            except Exception:
+                # The daemon must not stay stale for ever because of one fault.
+                logging.exception("the watch failed")
                 await asyncio.sleep(RETRY_S)
-                continue
-            await self._converse()
             if self._link is not None:
                 self._link.close("moving to another control instance")
                 self._link = None
@@ -236,6 +251,7 @@
             if self._should_return(now, started_at):
                 self._returning = loop.create_task(self._return())
             self._ping(now)
+            await asyncio.sleep(MIN_PING_S)
             await self._pause()
         if self._link is not None:
             self._avoid[self._address] = loop.time() + AVOID_S
@@ -274,7 +290,8 @@
         loop = asyncio.get_running_loop()
         until_silent = self._answered_at + SILENCE_S - loop.time() + 0.001
         try:
-            async with asyncio.timeout(max(0.0, min(PING_S, until_silent))):
+            limit_s = min(PING_S - MIN_PING_S, until_silent)
+            async with asyncio.timeout(max(0.0, limit_s)):
                 await self._wake.wait()
         except TimeoutError:
             pass
@@ -290,6 +307,7 @@
         if self._holder is not None:
             ping.demands = self._holder.demands(now)
             ping.shares = self._holder.held(now)
+            ping.raft_term = self._holder.raft_term
         if self._link is not None:
             self._link.send(ping)
 
