Record non-idempotent calls at an owner and a backup

Cause: a resend or a repeated message must not run a booking twice. The messages record and recordSync name executions by origin and id; copies are numbered and acknowledged. Conclusion: two daemons hold each outcome; control promotes only whole copies.

--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,348 @@
+import collections
+import dataclasses
+
+import helpers
+from hypothesis import stateful
+from hypothesis import strategies as st
+from test_router import call
+
+from toucanfold import calls, messages, model, outcomes, records, slots
+
+NAMES = ("a", "b", "c", "d")
+START = 1_700_000_000.0
+
+
+def uuid7(stamp, number):
+    millis = f"{int(stamp * 1000):012x}"
+    return f"{millis[:8]}-{millis[8:]}-7000-8000-{number:012x}"
+
+
+def keyed(key, body=b"", epoch=1):
+    return call(
+        service="s", idempotent=False, idempotency_key=key, slot=0, slot_epoch=epoch,
+        body=body,
+    )  # fmt: skip
+
+
+class Node:
+    """One daemon incarnation with its table, runs and pending intents."""
+
+    def __init__(self, name, incarnation, skew):
+        self.me = (name, incarnation)
+        self.skew = skew
+        self.table = outcomes.Table(name, incarnation)
+        self.applied = 0
+        self.pending = {}
+        self.runs = []
+
+
+class AtMostOnce(stateful.RuleBasedStateMachine):
+    """Guards against a second dispatch of a recorded call.
+
+    Daemons are killed, restarted and cut off; messages are lost, repeated, late and
+    out of order; each daemon applies states of control late, perhaps skipping some.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.saved_slots = model.SLOTS_PER_SERVICE
+        model.SLOTS_PER_SERVICE = 1
+        self.now, self.incarnations, self.keys_made = 0.0, 0, 0
+        self.state = model.FleetState()
+        self.state.profiles["p"] = model.Profile("p", idempotent=False)
+        self.state.routes["r"] = model.Route("r", "s", "p")
+        self.history, self.nodes, self.wire = [], {}, []
+        self.marks, self.cut, self.ended = set(), set(), set()
+        self.keys = ["plain1", "plain2"]
+        self.dispatches = collections.Counter()
+        self.last_end, self.bodies = {}, {}
+        for name in NAMES[:3]:
+            self.start(name)
+        self.control(1)
+
+    def teardown(self):
+        model.SLOTS_PER_SERVICE = self.saved_slots
+
+    def start(self, name):
+        self.incarnations += 1
+        skew = (-0.5, 0.0, 0.5)[self.incarnations % 3]
+        self.nodes[name] = Node(name, self.incarnations, skew)
+        place = "x" if name in "ac" else "y"
+        self.state.targets[name] = model.Target(
+            name, self.incarnations, "s", "r1", place, "-"
+        )
+        self.publish()
+
+    def publish(self):
+        self.history.append(model.FleetState.from_json(self.state.to_json()))
+
+    def wall(self, node):
+        return START + self.now + node.skew
+
+    def post(self, node, name, message):
+        if name in self.nodes:
+            self.wire.append((node, self.nodes[name].me, message))
+
+    # Control
+
+    @stateful.rule(times=st.integers(1, 3))
+    def control(self, times):
+        for _ in range(times):
+            changed = slots.plan(self.now, self.state, self.marks)
+            for slot in changed:
+                self.check_change(self.state.slots.get(("s", slot.number)), slot)
+                self.state.slots["s", slot.number] = slot
+            self.publish()
+            for name in set(self.nodes) - self.cut:
+                self.apply(name, True)
+
+    def check_change(self, old, slot):
+        assert slot.epoch == (old.epoch if old else 0) + 1
+        owner = (slot.owner, slot.owner_incarnation)
+        if old is None or owner == (old.owner, old.owner_incarnation):
+            return
+        if slot.gap:
+            gone = (
+                (old.owner, old.owner_incarnation),
+                (
+                    old.backup,
+                    old.backup_incarnation,
+                ),
+            )
+            assert any(daemon in self.ended for daemon in gone)
+        else:
+            assert owner == (old.backup, old.backup_incarnation)
+
+    @stateful.rule(forget=st.booleans())
+    def collect_marks(self, forget):
+        if forget:
+            self.marks = set()
+        for node in self.nodes.values():
+            self.marks |= set(node.table.complete_copies())
+
+    @stateful.rule(name=st.sampled_from(NAMES), is_lost=st.booleans())
+    def judge(self, name, is_lost):
+        """Control may be wrong about a loss."""
+        target = self.state.targets.get(name)
+        if target is not None and target.state != "left":
+            target.state = "lost" if is_lost or name not in self.nodes else "up"
+            self.control(1)
+
+    @stateful.rule(role=st.sampled_from(["owner", "backup"]), drains=st.booleans())
+    def lose_role(self, role, drains):
+        slot = self.state.slots["s", 0]
+        target = self.state.targets.get(getattr(slot, role))
+        if target is not None and target.state == "up":
+            target.state = "draining" if drains else "lost"
+            self.control(1)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def leave(self, name):
+        """A planned stop ends when nothing runs any more."""
+        node, target = self.nodes.get(name), self.state.targets.get(name)
+        if node and target.state == "draining" and not node.runs and not node.pending:
+            self.end(name)
+            target.state = "left"
+            self.control(1)
+
+    @stateful.rule(
+        role=st.sampled_from(["owner", "backup", "any"]),
+        name=st.sampled_from(NAMES),
+        again=st.booleans(),
+    )
+    def kill(self, role, name, again):
+        if role != "any":
+            name = getattr(self.state.slots["s", 0], role)
+        self.end(name)
+        if again and name:
+            self.start(name)
+            self.apply(name, True)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def begin_again(self, name):
+        if name not in self.nodes:
+            self.start(name)
+            self.control(1)
+
+    def end(self, name):
+        node = self.nodes.pop(name, None)
+        if node is not None:
+            self.ended.add(node.me)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def partition(self, name):
+        """Cut a daemon off from control, or connect it again."""
+        self.cut ^= {name}
+
+    @stateful.rule(name=st.sampled_from(NAMES), skip=st.booleans())
+    def apply(self, name, skip):
+        node = self.nodes.get(name)
+        if node is not None and node.applied < len(self.history):
+            node.applied = len(self.history) if skip else node.applied + 1
+            state = self.history[node.applied - 1]
+            node.table.on_state(self.now, self.wall(node), state)
+
+    @stateful.rule()
+    def settle(self):
+        """Let everything go well for a moment, so that runs get far."""
+        self.control(1)
+        for name in list(self.nodes):
+            self.copy(name)
+        self.flush()
+        self.collect_marks(False)
+
+    def flush(self):
+        for _ in range(len(self.wire) * 3):
+            if self.wire:
+                self.deliver(0, False)
+
+    # Calls
+
+    @stateful.rule(ahead=st.sampled_from([0.0, 1.0, 1.5]))
+    def new_key(self, ahead):
+        self.keys_made += 1
+        self.keys.append(uuid7(START + self.now + ahead, self.keys_made))
+
+    @stateful.rule(
+        index=st.integers(0, 4),
+        other=st.integers(0, 9),
+        back=st.sampled_from([0, 0, 1, 2, 5, 9]),
+        smooth=st.booleans(),
+    )
+    def send(self, index, other, back, smooth):
+        key = self.keys[-1 - index % len(self.keys)]
+        view = self.history[max(0, len(self.history) - 1 - back)]
+        slot = view.slots.get(("s", 0))
+        node = self.nodes.get(slot.owner) if slot else None
+        if node is None or node.me[1] != slot.owner_incarnation:
+            return
+        body = b"other" if other == 0 else b""
+        one = keyed(key, body, slot.epoch)
+        digest = outcomes.digest_of(one)
+        decision = node.table.begin(self.now, self.wall(node), one, digest)
+        record = decision.record
+        if decision.step is outcomes.Step.ANSWER:
+            if decision.answer.refusal is None:
+                assert decision.answer.body in self.bodies[key]
+        elif decision.step is outcomes.Step.ASK_BACKUP:
+            node.pending[record.id] = (self.now, record)
+            view = node.table.views.find(("s", 0))
+            self.wire.append((node, view.backup, decision.intent))
+            if smooth:
+                self.deliver(len(self.wire) - 1, False)
+                if self.wire and isinstance(self.wire[-1][2], messages.IntentAck):
+                    self.deliver(len(self.wire) - 1, False)
+        elif decision.step is outcomes.Step.RUN:
+            self.dispatch(node, record)
+
+    @stateful.rule(ahead=st.sampled_from([0.0, 1.5]))
+    def send_new(self, ahead):
+        self.new_key(ahead)
+        self.send(0, 1, 0, True)
+
+    @stateful.rule()
+    def resend_everywhere(self):
+        """The callers of all keys lost the answer, and entries differ in their view."""
+        for index in range(min(5, len(self.keys))):
+            for back in (0, 1, 2, 4, 8):
+                self.send(index, 1, back, True)
+
+    def dispatch(self, node, record):
+        key = record.key[1]
+        ended = self.last_end.get(key)
+        is_plain = records.stamp_of(key) is None and ended is not None
+        if is_plain and self.now > ended + records.RETENTION_S:
+            self.dispatches[key] = 0
+        self.dispatches[key] += 1
+        self.last_end[key] = self.now + records.MAX_RUN_S
+        node.runs.append((self.now, record))
+        assert self.dispatches[key] == 1, f"{key} was dispatched twice"
+
+    @stateful.precondition(lambda self: any(n.runs for n in self.nodes.values()))
+    @stateful.rule(index=st.integers(0, 9), kind=st.sampled_from(calls.Outcome))
+    def finish(self, index, kind):
+        nodes = [node for node in self.nodes.values() if node.runs]
+        self.end_run(nodes[index % len(nodes)], 0, kind)
+
+    def end_run(self, node, index, kind):
+        _, record = node.runs.pop(index)
+        key = record.key[1]
+        answer = calls.refuse(calls.Kind.TARGET_FAILED, "", kind)
+        if kind is calls.Outcome.RAN:
+            body = f"{key} {record.origin} {record.id}".encode()
+            self.bodies.setdefault(key, set()).add(body)
+            answer = calls.Answer(status=201, body=body)
+        if kind is calls.Outcome.NOT_RUN:
+            self.dispatches[key] -= 1
+        self.last_end[key] = self.now
+        for name, message in node.table.finish(self.now, record, answer):
+            self.post(node, name, message)
+
+    # Messages
+
+    @stateful.precondition(lambda self: self.wire)
+    @stateful.rule(index=st.integers(0, 99), keep=st.booleans())
+    def deliver(self, index, keep):
+        index %= len(self.wire)
+        source, receiver, message = self.wire[index]
+        if not keep:
+            del self.wire[index]
+        node = self.nodes.get(receiver[0])
+        if node is None or node.me != receiver:
+            return
+        table, peer = node.table, source.me
+        if isinstance(message, messages.Intent):
+            self.acknowledge(node, source, table.on_intent(self.now, peer, message))
+        elif isinstance(message, messages.RecordSync):
+            ack = table.on_sync(self.now, peer, message)
+            self.acknowledge(node, source, ack)
+        elif isinstance(message, messages.Record):
+            for name, copy in table.on_record(self.now, message):
+                self.post(node, name, dataclasses.replace(copy))
+        elif message.id in node.pending:
+            _, record = node.pending.pop(message.id)
+            if table.confirm(record, message):
+                self.dispatch(node, record)
+            else:
+                self.withdraw(node, record)
+        elif message.accepted:
+            table.on_synced(("s", 0), message.epoch)
+
+    def acknowledge(self, node, source, ack):
+        if ack is not None:
+            self.wire.append((node, source.me, ack))
+
+    @stateful.precondition(lambda self: self.wire)
+    @stateful.rule(index=st.integers(0, 99))
+    def lose(self, index):
+        del self.wire[index % len(self.wire)]
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def copy(self, name):
+        node = self.nodes.get(name)
+        for view in node.table.unsynced() if node else ():
+            number = node.table.next_id()
+            for part in node.table.sync_parts(self.now, view, number):
+                self.wire.append((node, view.backup, part))
+
+    def withdraw(self, node, record):
+        for name, message in node.table.withdraw(self.now, record):
+            self.post(node, name, message)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.5, 3.0, 700.0, 3700.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        for node in self.nodes.values():
+            for number, (since, record) in list(node.pending.items()):
+                if self.now - since >= 0.3:
+                    del node.pending[number]
+                    self.withdraw(node, record)
+            while node.runs and self.now - node.runs[0][0] > records.MAX_RUN_S:
+                self.end_run(node, 0, calls.Outcome.UNKNOWN)
+            node.table.store.expire(self.now)
+
+
+AtMostOnce.TestCase.settings = helpers.hypothesis.settings(
+    max_examples=150, stateful_step_count=50
+)
+TestAtMostOnce = AtMostOnce.TestCase
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,304 @@
+import asyncio
+import dataclasses
+import time
+
+import helpers
+from test_forward import Script, soon
+from test_router import FAILED, OVERLOADED
+
+from toucanfold import calls, messages, model, outcomes, owner
+
+
+class Net:
+    """Links between owners in one process; a cut link loses its messages."""
+
+    def __init__(self):
+        self.owners = {}
+        self.cut = []
+        self.dropped = ()
+        self.links = {}
+
+    def add(self, name, incarnation, sender):
+        made = owner.Owner(name, incarnation, sender, Links(self, name, incarnation))
+        self.owners[name] = made
+        return made
+
+    def apply(self, state):
+        for made in self.owners.values():
+            made.on_state(time.monotonic(), state)
+
+
+class Links:
+    def __init__(self, net, name, incarnation):
+        self.net, self.me = net, (name, incarnation)
+
+    async def link_to(self, target):
+        return Wire(self.net, self.me, (target.name, target.incarnation))
+
+
+class Wire:
+    """One direction of a link."""
+
+    buffered_bytes = 0
+
+    def __init__(self, net, source, receiver):
+        self.net, self.source, self.receiver = net, source, receiver
+        self.peer = messages.Hello(name=receiver[0], incarnation=receiver[1])
+
+    def send(self, message):
+        frame = messages.encode(message)
+        asyncio.get_running_loop().call_soon(self.deliver, frame)
+        return True
+
+    def deliver(self, frame):
+        pair = {self.source[0], self.receiver[0]}
+        if self.receiver[0] in self.net.owners and pair not in self.net.cut:
+            back = Wire(self.net, self.receiver, self.source)
+            message = messages.decode(frame[4:])
+            if not isinstance(message, self.net.dropped):
+                self.net.owners[self.receiver[0]].on_message(back, message)
+
+
+def booking(key="k", seconds=2.0, body=b"", epoch=1):
+    return dataclasses.replace(
+        soon(seconds, idempotent=False, idempotency_key=key, slot=3, slot_epoch=epoch),
+        body=body,
+    )
+
+
+def table(owner_name="a", backup="b", epoch=1, gap=False, dead=()):
+    state = model.FleetState()
+    for number, name in enumerate("abc"):
+        if name not in dead:
+            state.targets[name] = model.Target(name, number + 1, "s", "r", "d", "x")
+    state.slots["s", 3] = model.Slot(
+        "s", 3, epoch, owner_name, "abc".index(owner_name) + 1, backup,
+        "abc".index(backup) + 1 if backup else 0, gap,
+    )  # fmt: skip
+    return state
+
+
+def pair(script, backup="b"):
+    net = Net()
+    for number, name in enumerate("abc"):
+        net.add(name, number + 1, script)
+    net.apply(table(backup=backup))
+    return net
+
+
+def test_resends_get_the_recorded_answer_also_from_the_backup():
+    """Guards against a booking that runs again after the loss of its owner."""
+
+    async def scenario():
+        made = calls.Answer(status=201, headers=[(b"X-Id", b"7")], body=b"booked")
+        script = Script(t0=made)
+        net = pair(script)
+        answers = [await net.owners["a"].run(booking()) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        del net.owners["a"]
+        net.apply(table("b", "c", epoch=2, dead="a"))
+        await asyncio.sleep(0.1)
+        answers.append(await net.owners["b"].run(booking(epoch=2)))
+        del net.owners["b"]
+        net.apply(table("c", "", epoch=3, dead="ab"))
+        answers.append(await net.owners["c"].run(booking(epoch=3)))
+        conflict = await net.owners["c"].run(booking(epoch=3, body=b"other"))
+        return script, answers, conflict
+
+    script, answers, conflict = helpers.run(scenario())
+    assert len(script.seen) == 1
+    told = {(one.status, tuple(one.headers), one.body) for one in answers}
+    assert told == {(201, ((b"X-Id", b"7"),), b"booked")}
+    assert conflict.refusal.kind is calls.Kind.CONFLICT
+
+
+def test_resend_joins_a_run_whose_caller_went_away():
+    """Guards against a disconnect that cuts a booking and loses its outcome."""
+
+    async def scenario():
+        script = Script(t0=0.2)
+        net = pair(script)
+        first = asyncio.create_task(net.owners["a"].run(booking()))
+        await asyncio.sleep(0.05)
+        hasty = await net.owners["a"].run(booking(seconds=0.02))
+        first.cancel()
+        return script, hasty, await net.owners["a"].run(booking())
+
+    script, hasty, joined = helpers.run(scenario())
+    assert len(script.seen) == 1 and joined.body == b"t0"
+    assert hasty.refusal.kind is calls.Kind.STILL_RUNNING
+    assert hasty.outcome is not calls.Outcome.NOT_RUN
+
+
+def test_unacknowledged_intent_is_not_run_and_does_not_block_a_resend():
+    """Guards against an intent left at the backup that answers a resend wrongly."""
+
+    async def scenario():
+        script = Script()
+        net = pair(script)
+        net.dropped = (messages.IntentAck,)
+        refused = await net.owners["a"].run(booking())
+        assert not script.seen and refused.outcome is calls.Outcome.NOT_RUN
+        net.dropped = ()
+        again = await net.owners["a"].run(booking())
+        return script, refused, again
+
+    script, refused, again = helpers.run(scenario())
+    assert refused.refusal.kind is calls.Kind.OVERLOADED
+    assert again.status == 200 and len(script.seen) == 1
+
+
+def test_withdrawn_intent_does_not_block_after_a_promotion():
+    async def scenario():
+        script = Script()
+        net = pair(script)
+        net.dropped = (messages.IntentAck,)
+        await net.owners["a"].run(booking())
+        await asyncio.sleep(0.05)
+        net.apply(table("b", "", epoch=2, dead="a"))
+        answer = await net.owners["b"].run(booking(epoch=2))
+        return script, answer
+
+    script, answer = helpers.run(scenario())
+    assert answer.status == 200 and len(script.seen) == 1
+
+
+def test_unreachable_backup_means_overloaded():
+    async def scenario():
+        script = Script()
+        net = pair(script)
+        net.cut = [{"a", "b"}]
+        started = time.monotonic()
+        answer = await net.owners["a"].run(booking())
+        return script, answer, time.monotonic() - started
+
+    script, answer, seconds = helpers.run(scenario())
+    assert not script.seen and seconds < 1.0
+    assert answer.refusal.kind is calls.Kind.OVERLOADED
+    assert answer.outcome is calls.Outcome.NOT_RUN
+
+
+def test_fenced_owner_runs_nothing():
+    """Guards against a former owner that has not heard of its successor."""
+
+    async def scenario():
+        script = Script()
+        net = pair(script)
+        net.owners["b"].on_state(time.monotonic(), table("b", "c", epoch=2))
+        return script, await net.owners["a"].run(booking())
+
+    script, answer = helpers.run(scenario())
+    assert not script.seen and answer.refusal.kind is calls.Kind.NO_TARGET
+
+
+def test_backup_that_lags_is_asked_again():
+    async def scenario():
+        script = Script()
+        net = pair(script)
+        late = table("a", "c", epoch=2)
+        net.owners["a"].on_state(time.monotonic(), late)
+        running = asyncio.create_task(net.owners["a"].run(booking(epoch=2)))
+        await asyncio.sleep(0.1)
+        assert not script.seen
+        net.owners["c"].on_state(time.monotonic(), late)
+        return await running
+
+    assert helpers.run(scenario()).status == 200
+
+
+def test_outcomes_of_refusals():
+    """Guards against a record that blocks what did not run, or repeats what may run."""
+
+    async def scenario(first):
+        script = Script(t0=[first, calls.Answer(status=200)])
+        net = pair(script)
+        answers = [await net.owners["a"].run(booking()) for _ in range(2)]
+        return len(script.seen), answers
+
+    runs, answers = helpers.run(scenario(OVERLOADED))
+    assert runs == 2 and answers[1].status == 200
+    runs, answers = helpers.run(scenario(FAILED))
+    assert runs == 1 and answers[1].refusal.kind is calls.Kind.OUTCOME_UNKNOWN
+
+
+def test_outcome_of_a_former_owner_reaches_the_new_one():
+    """Guards against a planned stop that loses the outcomes of running calls."""
+
+    async def scenario():
+        script = Script(t0=0.2)
+        net = pair(script)
+        running = asyncio.create_task(net.owners["a"].run(booking()))
+        await asyncio.sleep(0.05)
+        net.apply(table("b", "c", epoch=2))
+        during = await net.owners["b"].run(booking(epoch=2))
+        await running
+        await asyncio.sleep(0.05)
+        return during, await net.owners["b"].run(booking(epoch=2)), len(script.seen)
+
+    during, after, runs = helpers.run(scenario())
+    assert during.refusal.kind is calls.Kind.STILL_RUNNING
+    assert (after.body, runs) == (b"t0", 1)
+
+
+def test_streamed_bodies_are_digested_whole():
+    async def chunks(*parts):
+        for part in parts:
+            yield part
+
+    async def scenario():
+        script = Script()
+        net = pair(script, backup="")
+        answers = []
+        for text in (b"same", b"same", b"else"):
+            one = booking()
+            one.body_stream = chunks(b"12", text)
+            answers.append(await net.owners["a"].run(one))
+        huge = booking("k2")
+        huge.body_stream = chunks(*[b"x" * (1 << 20)] * 17)
+        answers.append(await net.owners["a"].run(huge))
+        return script, answers, net.owners["a"]._buffered
+
+    script, answers, buffered = helpers.run(scenario())
+    assert script.seen[0][1].body == b"12same" and len(script.seen) == 1
+    assert answers[2].refusal.kind is calls.Kind.CONFLICT
+    assert answers[3].refusal.kind is calls.Kind.TOO_LARGE
+    assert buffered == 0
+
+
+def test_long_answers_reach_the_caller_but_are_not_kept():
+    async def scenario():
+        script = Script(t0=calls.Answer(status=200, body=b"x" * 70_000))
+        net = pair(script)
+        return [await net.owners["a"].run(booking()) for _ in range(2)]
+
+    first, second = helpers.run(scenario())
+    assert len(first.body) == 70_000
+    assert second.outcome is calls.Outcome.RAN and second.refusal is not None
+
+
+def test_copy_survives_a_lost_link():
+    """Guards against a backup that counts as complete after a part was lost."""
+
+    async def scenario():
+        script = Script()
+        net = pair(script, backup="")
+        for number in range(30):
+            await net.owners["a"].run(booking(f"k{number}"))
+        net.cut = [{"a", "c"}]
+        later = table("a", "c", epoch=2)
+        net.apply(later)
+        await asyncio.sleep(0.05)
+        assert net.owners["c"].complete_copies() == []
+        net.cut = []
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            if net.owners["c"].complete_copies():
+                break
+        return net.owners["c"].complete_copies(), net.owners["c"].table.store.count
+
+    outcomes.SYNC_PART_BYTES, saved = 1000, outcomes.SYNC_PART_BYTES
+    owner.SYNC_LIMIT_S, saved_limit = 0.2, owner.SYNC_LIMIT_S
+    try:
+        assert helpers.run(scenario()) == ([("s", 3, 2)], 30)
+    finally:
+        outcomes.SYNC_PART_BYTES, owner.SYNC_LIMIT_S = saved, saved_limit
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -125,6 +125,8 @@
   headers @8 :Data;
   body @9 :Data;
   ageMs @10 :UInt64;
+  origin @11 :UInt64;
+  id @12 :UInt64;
 }
 
 struct RecordSync {
@@ -133,6 +135,8 @@
   epoch @2 :UInt64;
   records @3 :List(Record);
   last @4 :Bool;
+  id @5 :UInt64;
+  index @6 :UInt32;
 }
 
 struct Demand {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -177,7 +177,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Record(Message):
-    """The outcome of a recorded call; state is an outcomes.State value."""
+    """The outcome of a recorded call; state is a records.State value.
+
+    origin is the incarnation of the daemon that runs the call, and id numbers its
+    intents; together they name one execution.
+    """
 
     TAG = "record"
     service: str = ""
@@ -191,11 +195,16 @@
     headers: bytes = b""
     body: bytes = b""
     age_ms: int = 0
+    origin: int = 0
+    id: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class RecordSync(Message):
-    """A part of a slot's records for its new backup."""
+    """A part of a slot's records for its new backup; parts are numbered from 0.
+
+    The backup acknowledges the last part with an intentAck of the same id.
+    """
 
     TAG = "recordSync"
     NESTED = {"records": Record}
@@ -204,6 +213,8 @@
     epoch: int = 0
     records: list[Record] = dataclasses.field(default_factory=list)
     last: bool = False
+    id: int = 0
+    index: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/toucanfold/owner.py
@@ -0,0 +1,372 @@
+"""Runs recorded calls as the owner of their slots, and serves owners as backup."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any, Protocol
+
+from absl import logging
+
+from toucanfold import calls, link, messages, model, outcomes, records, views
+
+# An intent that is not acknowledged by then is withdrawn; far above a round trip
+# inside a region (about 3 ms) and far below callers' deadlines.
+INTENT_LIMIT_S = 0.3
+INTENT_PAUSE_S = 0.02
+MAX_JOINERS = 16
+EXPIRY_INTERVAL_S = 30.0
+# Whole bodies are needed for the request digest before a call may run.
+MAX_BODY_BYTES = 16 << 20
+MAX_BUFFERED_BYTES = 64 << 20
+SYNC_TASKS = 4
+SYNC_WINDOW_BYTES = 1 << 20
+SYNC_PAUSE_S = 0.01
+SYNC_LIMIT_S = 10.0
+RETRY_PAUSE_S = 0.2
+# Copies for a daemon that cannot be reached are dropped after this time; its
+# successor as backup gets a whole copy.
+OUTBOX_LIMIT_S = 10.0
+OUTBOX_LENGTH = 10_000
+
+
+class Sender(Protocol):
+    """Routes a call to a target."""
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Run a call and return its answer or refusal."""
+
+
+class Links(Protocol):
+    """Links to other daemons."""
+
+    async def link_to(self, target: model.Target) -> link.Link | None:
+        """Return an open link, None if there is none and it cannot be opened."""
+
+
+class Owner:
+    """Runs each recorded call at most once and keeps its outcome at two daemons.
+
+    A run goes on when its caller disconnects, so that a resend finds its outcome.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        sender: Sender,
+        links: Links,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ):
+        self.table = outcomes.Table(name, incarnation)
+        self._sender = sender
+        self._links = links
+        self._clock = clock
+        self._wall = wall
+        self._state = model.FleetState()
+        self._runs: dict[int, asyncio.Task[calls.Answer]] = {}
+        self._joiners: collections.Counter[int] = collections.Counter()
+        self._acks: dict[
+            int, tuple[views.Daemon, asyncio.Future[messages.IntentAck]]
+        ] = {}
+        self._outboxes: dict[str, collections.deque[messages.Message]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._syncing: set[tuple[records.SlotKey, int]] = set()
+        self._sync_slots = asyncio.Semaphore(SYNC_TASKS)
+        self._buffered = 0
+        self._expired_at = float("-inf")
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no recorded call runs and all outcomes were handed on."""
+        return not self._runs and not any(self._outboxes.values())
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Run a recorded call, or answer it from its record."""
+        self._expire()
+        if call.body_stream is None:
+            return await self._run_whole(call)
+        parts: list[bytes] = [call.body]
+        try:
+            refusal = await self._read_body(call.body_stream, parts)
+            if refusal is not None:
+                return refusal
+            body = b"".join(parts)
+            whole = dataclasses.replace(call, body=body, body_stream=None)
+            return await self._run_whole(whole)
+        finally:
+            self._buffered -= sum(map(len, parts[1:]))
+
+    def on_state(self, now: float, state: model.FleetState) -> None:
+        """Apply a new fleet state and copy records to new backups."""
+        self._state = state
+        self.table.on_state(now, self._wall(), state)
+        for view in self.table.unsynced():
+            name = (view.slot, view.epoch)
+            if name not in self._syncing:
+                self._syncing.add(name)
+                self._spawn(self._sync(view))
+        self._expire()
+
+    def on_message(self, source: link.Link, message: messages.Message) -> None:
+        """Handle an intent, an acknowledgement, a record or a part of a copy."""
+        if source.peer is None:
+            return
+        now = self._clock()
+        peer = (source.peer.name, source.peer.incarnation)
+        if isinstance(message, messages.IntentAck):
+            self._on_ack(peer, message)
+        elif isinstance(message, messages.Record):
+            self._post(self.table.on_record(now, message))
+        elif isinstance(message, messages.Intent):
+            _reply(source, self.table.on_intent(now, peer, message))
+        elif isinstance(message, messages.RecordSync):
+            _reply(source, self.table.on_sync(now, peer, message))
+
+    def complete_copies(self) -> list[tuple[str, int, int]]:
+        """Return (service, slot, epoch) of the slots this daemon may be promoted in."""
+        return self.table.complete_copies()
+
+    async def close(self) -> None:
+        """Cancel runs and copies; their outcome counts as unknown."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _run_whole(self, call: calls.Call) -> calls.Answer:
+        now = self._clock()
+        digest = outcomes.digest_of(call)
+        decision = self.table.begin(now, self._wall(), call, digest)
+        if decision.answer is not None:
+            return decision.answer
+        record = decision.record
+        assert record is not None
+        if decision.step is outcomes.Step.JOIN:
+            return await self._join(call, record)
+        task = self._spawn(self._execute(call, record, decision.intent))
+        self._runs[record.id] = task
+        answer = await self._wait(call, task)
+        if answer is None:
+            return calls.refuse(
+                calls.Kind.DEADLINE_EXCEEDED,
+                f"{call.service} did not answer in time",
+                calls.Outcome.UNKNOWN,
+            )
+        return answer
+
+    async def _join(self, call: calls.Call, record: records.Record) -> calls.Answer:
+        """Wait for the run that a resend found, at most until its own deadline."""
+        task = self._runs.get(record.id)
+        if task is None or self._joiners[record.id] >= MAX_JOINERS:
+            return outcomes.still_running()
+        self._joiners[record.id] += 1
+        try:
+            answer = await self._wait(call, task)
+        finally:
+            self._joiners[record.id] -= 1
+            if not self._joiners[record.id]:
+                del self._joiners[record.id]
+        if answer is None:
+            return outcomes.still_running()
+        answer.attempts_spent = 0
+        if answer.body_stream is not None:
+            # The stream belongs to the first caller.
+            return record.answer()
+        return answer
+
+    async def _wait(
+        self, call: calls.Call, task: asyncio.Task[calls.Answer]
+    ) -> calls.Answer | None:
+        """Return a copy of the run's answer, None at the deadline."""
+        left = max(0.0, call.deadline - self._clock())
+        done, _ = await asyncio.wait((task,), timeout=left)
+        if not done:
+            return None
+        answer = task.result()
+        refusal = answer.refusal and dataclasses.replace(answer.refusal)
+        return dataclasses.replace(answer, refusal=refusal)
+
+    async def _execute(
+        self, call: calls.Call, record: records.Record, intent: messages.Intent | None
+    ) -> calls.Answer:
+        answer = calls.refuse(
+            calls.Kind.OUTCOME_UNKNOWN,
+            "the run of the request was broken off",
+            calls.Outcome.UNKNOWN,
+        )
+        try:
+            refusal = None
+            if intent is not None:
+                refusal = await self._ask_backup(call, record, intent)
+            answer = refusal or await self._sender.run(call)
+        except Exception:
+            logging.exception("the run of a recorded call of %s failed", call.service)
+        finally:
+            del self._runs[record.id]
+            self._post(self.table.finish(self._clock(), record, answer))
+        return answer
+
+    async def _ask_backup(
+        self, call: calls.Call, record: records.Record, intent: messages.Intent
+    ) -> calls.Answer | None:
+        """Return None once the backup holds the intent, else why it does not."""
+        limit = min(INTENT_LIMIT_S, call.deadline - self._clock())
+        refusal = outcomes.overloaded("the backup did not acknowledge the record")
+        try:
+            async with asyncio.timeout(limit):
+                ack = await self._intend(intent)
+        except TimeoutError:
+            return refusal
+        finally:
+            self._acks.pop(intent.id, None)
+        if ack is None:
+            return refusal
+        if self.table.confirm(record, ack):
+            return None
+        return outcomes.moved() if ack.epoch > intent.epoch else refusal
+
+    async def _intend(self, intent: messages.Intent) -> messages.IntentAck | None:
+        """Send an intent until a backup that has applied its epoch replies."""
+        while True:
+            view = self.table.views.find((intent.service, intent.slot))
+            if view is None or view.epoch != intent.epoch:
+                return None
+            connected = await self._link_to(view.backup)
+            if connected is None:
+                return None
+            reply: asyncio.Future[messages.IntentAck]
+            reply = asyncio.get_running_loop().create_future()
+            self._acks[intent.id] = (view.backup, reply)
+            if not connected.send(intent):
+                return None
+            ack = await reply
+            if ack.accepted or ack.epoch >= intent.epoch:
+                return ack
+            await asyncio.sleep(INTENT_PAUSE_S)
+
+    async def _link_to(self, daemon: views.Daemon) -> link.Link | None:
+        """Return a link to this very incarnation."""
+        target = self._state.targets.get(daemon[0])
+        if target is None or target.incarnation != daemon[1]:
+            return None
+        found = await self._links.link_to(target)
+        if found is None or found.peer is None:
+            return None
+        return found if found.peer.incarnation == daemon[1] else None
+
+    def _on_ack(self, peer: views.Daemon, ack: messages.IntentAck) -> None:
+        waiting = self._acks.get(ack.id)
+        if waiting is None or waiting[0] != peer:
+            return
+        if not waiting[1].done():
+            waiting[1].set_result(ack)
+
+    async def _sync(self, view: views.View) -> None:
+        """Copy the records of a slot to its backup until it acknowledges them."""
+        try:
+            while self._is_current(view) and not view.is_synced:
+                async with self._sync_slots:
+                    is_done = await self._sync_once(view)
+                if not is_done:
+                    await asyncio.sleep(RETRY_PAUSE_S)
+        finally:
+            self._syncing.discard((view.slot, view.epoch))
+
+    async def _sync_once(self, view: views.View) -> bool:
+        sync_id = self.table.next_id()
+        probe = messages.Intent(sync_id, view.slot[0], view.slot[1], view.epoch)
+        try:
+            async with asyncio.timeout(SYNC_LIMIT_S):
+                ack = await self._intend(probe)
+                connected = await self._link_to(view.backup)
+                if ack is None or not ack.accepted or connected is None:
+                    return False
+                reply: asyncio.Future[messages.IntentAck]
+                reply = asyncio.get_running_loop().create_future()
+                self._acks[sync_id] = (view.backup, reply)
+                if not await self._send_parts(view, sync_id, connected):
+                    return False
+                await reply
+        except TimeoutError:
+            return False
+        finally:
+            self._acks.pop(sync_id, None)
+        self.table.on_synced(view.slot, view.epoch)
+        return True
+
+    async def _send_parts(
+        self, view: views.View, sync_id: int, connected: link.Link
+    ) -> bool:
+        for part in self.table.sync_parts(self._clock(), view, sync_id):
+            while connected.buffered_bytes > SYNC_WINDOW_BYTES:
+                await asyncio.sleep(SYNC_PAUSE_S)
+            if not self._is_current(view) or not connected.send(part):
+                return False
+        return True
+
+    def _is_current(self, view: views.View) -> bool:
+        return self.table.views.find(view.slot) is view
+
+    def _post(self, posts: list[outcomes.Post]) -> None:
+        for name, message in posts:
+            outbox = self._outboxes.get(name)
+            if outbox is None:
+                outbox = collections.deque(maxlen=OUTBOX_LENGTH)
+                self._outboxes[name] = outbox
+                self._spawn(self._flush(name, outbox))
+            outbox.append(message)
+
+    async def _flush(
+        self, name: str, outbox: collections.deque[messages.Message]
+    ) -> None:
+        """Send the waiting copies in order, until none is left or time is up."""
+        give_up_at = self._clock() + OUTBOX_LIMIT_S
+        try:
+            while outbox and self._clock() < give_up_at:
+                target = self._state.targets.get(name)
+                if target is None:
+                    return
+                connected = await self._links.link_to(target)
+                while connected is not None and outbox and connected.send(outbox[0]):
+                    outbox.popleft()
+                if outbox:
+                    await asyncio.sleep(RETRY_PAUSE_S)
+        finally:
+            del self._outboxes[name]
+
+    async def _read_body(
+        self, stream: AsyncIterator[bytes], parts: list[bytes]
+    ) -> calls.Answer | None:
+        """Read a whole body into parts, or refuse it."""
+        size = len(parts[0])
+        async for part in stream:
+            parts.append(part)
+            size += len(part)
+            self._buffered += len(part)
+            if size > MAX_BODY_BYTES:
+                return calls.refuse(
+                    calls.Kind.TOO_LARGE,
+                    f"a recorded call may have at most {MAX_BODY_BYTES} bytes",
+                )
+            if self._buffered > MAX_BUFFERED_BYTES:
+                return outcomes.overloaded("too many long bodies are being read")
+        return None
+
+    def _expire(self) -> None:
+        now = self._clock()
+        if now - self._expired_at >= EXPIRY_INTERVAL_S:
+            self._expired_at = now
+            self.table.store.expire(now)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _reply(source: link.Link, ack: messages.IntentAck | None) -> None:
+    if ack is not None:
+        source.send(ack)
