--- a/toucanfold/client.py
+++ b/toucanfold/client.py
@@ -22,6 +22,8 @@
 # a tenth to the load of a service which fails for long.
 BUDGET_CAPACITY = 10.0
 BUDGET_PER_SUCCESS = 0.1
+# An entry that refused a connection or is stopping is passed over for this time.
+AVOID_S = 1.0
 # A connection beyond the deadline gives the daemon time for its own refusal.
 ANSWER_GRACE_S = 0.1
 
@@ -98,6 +100,7 @@
         if not entries:
             raise ValueError("at least one entry address is needed")
         self._pools = [plainhttp.Pool(address) for address in entries]
+        self._avoid_until = [0.0] * len(entries)
         self._key = key
         self._retries = retries or Retries()
         self._random = rng or random.Random()
@@ -176,8 +179,19 @@
             (b"Toucanfold-Timeout-Ms", str(max(1, int(left_s * 1000))).encode()),
             (b"Toucanfold-Attempt", str(call.attempt).encode()),
         ]
-        pool = self._pools[self._next]
-        self._next = (self._next + 1) % len(self._pools)
+        entry = self._pick_entry()
+        outcome = await self._exchange(self._pools[entry], request, left_s, call)
+        if isinstance(outcome, result.Failure) and _is_away(outcome.failure()):
+            self._avoid_until[entry] = asyncio.get_running_loop().time() + AVOID_S
+        return outcome
+
+    async def _exchange(
+        self,
+        pool: plainhttp.Pool,
+        request: plainhttp.Request,
+        left_s: float,
+        call: _Call,
+    ) -> result.Result[Reply, exceptions.CallError]:
         try:
             async with asyncio.timeout(left_s + ANSWER_GRACE_S):
                 response = await pool.exchange(request)
@@ -189,6 +203,15 @@
             return result.Failure(_lost_error(str(error)))
         return _to_result(response, call.attempt + 1)
 
+    def _pick_entry(self) -> int:
+        """Return the next entry that was not away just now, else simply the next."""
+        count = len(self._pools)
+        now = asyncio.get_running_loop().time()
+        order = [(self._next + step) % count for step in range(count)]
+        chosen = next((i for i in order if self._avoid_until[i] <= now), order[0])
+        self._next = (chosen + 1) % count
+        return chosen
+
     def _retry_delay(self, call: _Call, error: exceptions.CallError) -> float | None:
         if call.attempt > self._retries.limit or not _is_retried(call, error):
             return None
@@ -219,6 +242,13 @@
     return error.kind in _RETRIED_KINDS and is_safe
 
 
+def _is_away(error: exceptions.CallError) -> bool:
+    """Whether another entry would serve the call better."""
+    if isinstance(error, exceptions.ConnectionFailedError):
+        return True
+    return error.kind in ("stopping", "control_stale")
+
+
 def _deadline_error(message: str, outcome: str) -> result.Failure:
     return result.Failure(
         exceptions.CallDeadlineError(
