--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from toucanfold import config, link, messages, model, watchstate
+from toucanfold import link, messages, model, watchstate
 
 PING_S = 0.5
 # An applied change is confirmed at once, but not more often than this.
@@ -31,6 +31,12 @@
 class Holder(Protocol):
     """What the watch needs of limits.Holder."""
 
+    # The newest term whose grants were taken.
+    raft_term: int
+
+    def wants_ping(self, now: float) -> bool:
+        """Whether a ping before the regular one would help."""
+
     def demands(self, now: float) -> list[messages.Demand]:
         """Return what the daemon would spend."""
 
@@ -55,26 +61,6 @@
     return (time.time_ns() // 1_000_000 << 22) | secrets.randbits(22)
 
 
-def from_settings(
-    settings: config.Settings,
-    identity: link.Identity,
-    holder: Holder | None = None,
-    tls: ssl.SSLContext | None = None,
-) -> "Watch":
-    """Return the watch of a daemon; the identity needs a rising incarnation."""
-    announcement = messages.Announcement(
-        name=identity.name,
-        incarnation=identity.incarnation,
-        service=settings.get("daemon", "service"),
-        region=identity.region,
-        data_centre=identity.data_centre,
-        link_address=settings.get("daemon", "link_advertise")
-        or settings.get("daemon", "link_listen"),
-    )
-    addresses = settings.get("daemon", "control")
-    return Watch(identity, addresses, announcement, holder, tls)
-
-
 class Watch:
     """Task that keeps the fleet state; use ``state``, ``is_fresh`` and ``subscribe``.
 
@@ -119,6 +105,12 @@
         """Start the task."""
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def ping_soon(self) -> None:
+        """Send the next ping now if the holder of shares needs an answer."""
+        now = asyncio.get_running_loop().time()
+        if self._holder is not None and self._holder.wants_ping(now):
+            self._wake.set()
+
     async def drain(self) -> None:
         """Announce draining; return when control has it or after 3 s."""
         await self._announce("draining", ("draining", "left"))
@@ -204,10 +196,15 @@
 
     async def _run(self) -> None:
         while True:
-            if not await self._connect():
+            try:
+                if await self._connect():
+                    await self._converse()
+                else:
+                    await asyncio.sleep(RETRY_S)
+            except Exception:
+                # The daemon must not stay stale for ever because of one fault.
+                logging.exception("the watch failed")
                 await asyncio.sleep(RETRY_S)
-                continue
-            await self._converse()
             if self._link is not None:
                 self._link.close("moving to another control instance")
                 self._link = None
@@ -310,6 +307,7 @@
         if self._holder is not None:
             ping.demands = self._holder.demands(now)
             ping.shares = self._holder.held(now)
+            ping.raft_term = self._holder.raft_term
         if self._link is not None:
             self._link.send(ping)
 
