Follow the changed signature of the operators' client

Cause: its last argument is now a TLS context. Change: the status of control is read with named arguments. Conclusion: the local fleet finds the leader again.

--- a/toucanfold/localfleet.py
+++ b/toucanfold/localfleet.py
@@ -1,6 +1,7 @@
 """Control instances and daemons of a local fleet, and its operator's changes."""
 
 import asyncio
+import functools
 import secrets
 import time
 from collections.abc import Callable
@@ -119,13 +120,13 @@
                 continue
             try:
                 _, value = await asyncio.to_thread(
-                    adminclient.fetch,
-                    address,
-                    "GET",
-                    "/v1/status",
-                    None,
-                    self._credential,
-                    2.0,
+                    functools.partial(
+                        adminclient.fetch,
+                        address,
+                        "GET",
+                        "/v1/status",
+                        credential=self._credential,
+                    )
                 )
             except OSError:
                 continue
