--- a/toucanfold/localfleet.py
+++ b/toucanfold/localfleet.py
@@ -1,7 +1,6 @@
 """Control instances and daemons of a local fleet, and its operator's changes."""
 
 import asyncio
-import functools
 import secrets
 import time
 from collections.abc import Callable
@@ -120,13 +119,13 @@
                 continue
             try:
                 _, value = await asyncio.to_thread(
-                    functools.partial(
-                        adminclient.fetch,
-                        address,
-                        "GET",
-                        "/v1/status",
-                        credential=self._credential,
-                    )
+                    adminclient.fetch,
+                    address,
+                    "GET",
+                    "/v1/status",
+                    None,
+                    self._credential,
+                    timeout_s=2.0,
                 )
             except OSError:
                 continue
