Test consensus and storage under simulated faults, and fix what was found

Member ids were random outside the seed, so failures could not be repeated. Elections moved to module election. Hypothesis state machine over a fake clock, network and disk; damage at every byte; differential tests.

--- /dev/null
+++ b/tests/test_raft.py
@@ -0,0 +1,247 @@
+"""Consensus over a fake clock, network and disk."""
+
+import hypothesis
+import pytest
+import simulation
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from toucanfold import exceptions, members, messages, raftlog
+
+NAMES = ("a", "b", "c")
+names = st.sampled_from(NAMES)
+
+
+class ConsensusMachine(stateful.RuleBasedStateMachine):
+    """Faults in any order; simulation.Fleet checks what must always hold."""
+
+    @stateful.initialize(seed=st.integers(0, 1 << 32), entries=st.sampled_from((5, 40)))
+    def start(self, seed, entries):
+        self.fleet = simulation.Fleet(seed, NAMES, entries)
+        self.fleet.run(2)
+        self.count = 0
+
+    @stateful.rule(seconds=st.sampled_from((0.05, 0.3, 1.5)))
+    def run_for(self, seconds):
+        self.fleet.run(seconds)
+
+    @stateful.rule(count=st.integers(1, 8), seconds=st.sampled_from((0, 0.01, 0.1)))
+    def propose(self, count, seconds):
+        for _ in range(count):
+            self.count += 1
+            self.fleet.propose(b"%d" % self.count)
+        self.fleet.run(seconds)
+
+    @stateful.rule(count=st.integers(1, 5))
+    def cut_off_leader_steps_down(self, count):
+        leader = self.fleet.leader()
+        if leader is None:
+            return
+        self.fleet.isolate(leader.name)
+        for _ in range(count):
+            leader.raft.propose(b"cut off")
+        leader.step()
+        term = leader.raft.term
+        self.fleet.run(0.7)
+        assert not (leader.raft.is_leader and leader.raft.term == term)
+        self.fleet.run(1.5)
+
+    @stateful.rule(name=names, other=names)
+    def cut_one_way(self, name, other):
+        self.fleet.cut.add((name, other))
+
+    @stateful.rule(
+        loss=st.sampled_from((0, 0.1, 0.3)),
+        duplication=st.sampled_from((0, 0.3)),
+        delay=st.sampled_from((0.004, 0.1, 0.4)),
+    )
+    def disturb(self, loss, duplication, delay):
+        self.fleet.loss, self.fleet.duplication = loss, duplication
+        self.fleet.delay = delay
+
+    @stateful.rule(seconds=st.sampled_from((0.3, 2.0)))
+    def heal(self, seconds):
+        self.fleet.heal()
+        self.fleet.run(seconds)
+
+    @stateful.rule(name=names, operations=st.integers(0, 8))
+    def crash_at_write(self, name, operations):
+        self.fleet.nodes[name].files.crash_in = operations
+
+    @stateful.rule(name=names)
+    def restart(self, name):
+        node = self.fleet.nodes[name]
+        if node.is_up:
+            node.crash()
+        node.start()
+
+    @stateful.rule(name=names)
+    def fill_disk(self, name):
+        self.fleet.nodes[name].files.is_full = True
+
+    @stateful.rule(name=names)
+    def lose_disk(self, name):
+        if self.fleet.can_lose_disk():
+            self.fleet.lose_disk(name)
+
+    @stateful.rule(name=names)
+    def repair_and_lose_another(self, name):
+        self.fleet.heal()
+        self.fleet.repair()
+        if self.fleet.can_lose_disk():
+            self.fleet.lose_disk(name)
+
+    @stateful.rule()
+    def read_everywhere(self):
+        for node in self.fleet.nodes.values():
+            if node.is_up:
+                node.read()
+
+    @stateful.rule()
+    def transfer(self):
+        leader = self.fleet.leader()
+        if leader:
+            leader.raft.transfer_leadership(self.fleet.now)
+
+    def teardown(self):
+        if hasattr(self, "fleet"):
+            self.fleet.check_converged()
+
+
+ConsensusMachine.TestCase.settings = hypothesis.settings(
+    max_examples=40, stateful_step_count=30
+)
+TestConsensus = ConsensusMachine.TestCase
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_returning_member_does_not_disturb(seed):
+    """A member cut off for long must not depose the leader when it returns."""
+    fleet = simulation.Fleet(seed)
+    leader = fleet.wait_leader()
+    away = next(name for name in NAMES if name != leader.name)
+    fleet.isolate(away)
+    fleet.run(10)
+    fleet.heal()
+    fleet.run(3)
+    assert fleet.leader() is leader and set(fleet.leaders.values()) == {leader.key}
+    assert fleet.nodes[away].raft.term == leader.raft.term
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_removed_member_does_not_disturb(seed):
+    """A member that missed its removal must not depose the leader."""
+    fleet = simulation.Fleet(seed)
+    leader = fleet.wait_leader()
+    removed = next(name for name in NAMES if name != leader.name)
+    fleet.isolate(removed)
+    fleet.run(1)
+    change = members.MemberChange(members.ChangeKind.REMOVE, removed)
+    assert leader.raft.change_members(fleet.now, change).unwrap()
+    fleet.run(1)
+    fleet.heal()
+    fleet.run(5)
+    assert fleet.leader() is leader and len(leader.raft.membership.voters) == 2
+    assert set(fleet.leaders.values()) == {leader.key}
+
+
+def test_change_below_a_working_quorum_needs_force():
+    """An operator must not stop the fleet by a removal without being told."""
+    fleet = simulation.Fleet(1)
+    leader = fleet.wait_leader()
+    first, second = (name for name in NAMES if name != leader.name)
+    fleet.nodes[first].crash()
+    fleet.run(1)
+    lost = members.MemberChange(members.ChangeKind.REPLACE, first, "new")
+    forecast = leader.raft.forecast(fleet.now, lost)
+    assert (forecast.losses, forecast.reachable) == (0, 2)
+    working = members.MemberChange(members.ChangeKind.REMOVE, second)
+    refused = leader.raft.change_members(fleet.now, working).failure()
+    assert isinstance(refused, exceptions.ValidationError) and "force" in str(refused)
+    forced = members.MemberChange(members.ChangeKind.REMOVE, second, force=True)
+    assert leader.raft.change_members(fleet.now, forced).unwrap()
+
+
+def test_second_loss_right_after_a_repair_loses_nothing():
+    """Each repaired loss must leave a fleet that can bear the next one."""
+    fleet = simulation.Fleet(2)
+    fleet.wait_leader()
+    for number, name in enumerate(NAMES * 2):
+        fleet.propose(b"%d" % number)
+        fleet.run(0.1)
+        fleet.lose_disk(name)
+        fleet.repair()
+    fleet.check_converged()
+    assert sum(kind == 0 for _, kind, _ in fleet.committed.values()) == 7
+
+
+def test_empty_disk_does_not_found_a_second_fleet():
+    """The founder must not start anew when its disk is lost and join is not set."""
+    fleet = simulation.Fleet(3)
+    fleet.wait_leader()
+    fleet.lost.add(fleet.nodes["a"].key)
+    fleet.nodes["a"].crash()
+    fleet.nodes["a"] = simulation.Node(fleet, "a", joining=False)
+    fleet.run(5)
+    assert not fleet.nodes["a"].raft.membership
+    fleet.check_converged()
+
+
+def test_member_without_state_may_vote():
+    """A voter that never stored anything must help when another disk is lost."""
+    fleet = simulation.Fleet(5)
+    while not fleet.nodes["a"].raft.membership:
+        fleet.run(0.001)
+    fleet.nodes["c"].crash()
+    fleet.wait_leader()
+    for number in range(40):
+        fleet.propose(b"%d" % number)
+        fleet.run(0.1)
+    fleet.lose_disk("b")
+    fleet.run(2)
+    assert fleet.leader() is None
+    fleet.nodes["c"].start()
+    assert not fleet.nodes["c"].raft.membership
+    fleet.check_converged()
+
+
+def test_stuck_disks_do_not_end_the_lead():
+    """With full disks changes stop, but the leader must stay for reads."""
+    fleet = simulation.Fleet(4)
+    leader = fleet.wait_leader()
+    for node in fleet.nodes.values():
+        node.files.is_full = True
+    fleet.propose(b"stuck")
+    fleet.run(3)
+    assert fleet.leader() is leader and len(fleet.leaders) == 1
+    before = fleet.highest
+    leader.read()
+    fleet.run(0.5)
+    assert not leader.reads and fleet.highest == before
+    fleet.check_converged()
+
+
+entry_lists = st.lists(
+    st.tuples(st.integers(1, 12), st.integers(1, 3), st.integers(1, 4)), max_size=20
+)
+
+
+@hypothesis.given(entry_lists)
+def test_log_matches_a_plain_list(steps):
+    """Differential test of merge, truncate and slice against a list of terms."""
+    log = raftlog.RaftLog(raftlog.EMPTY_SNAPSHOT, [])
+    plain = []
+    for first, term, count in steps:
+        first = min(first, len(plain) + 1)
+        sent = [messages.Entry(first + at, term) for at in range(count)]
+        log.merge(sent)
+        for entry in sent:
+            if entry.index > len(plain):
+                plain.append(entry.term)
+            elif plain[entry.index - 1] != entry.term:
+                plain[entry.index - 1 :] = [entry.term]
+        assert log.last_index == len(plain)
+        assert [log.term_at(at + 1) for at in range(len(plain))] == plain
+        found = log.slice(2, len(plain) - 1, 1 << 20)
+        assert [entry.term for entry in found] == plain[1:-1]
+        assert log.stable <= log.last_index
--- a/toucanfold/raft.py
+++ b/toucanfold/raft.py
@@ -1,4 +1,4 @@
-"""Consensus on the replicated log: elections, replication and membership."""
+"""Consensus on the replicated log: replication, reads and membership."""
 
 import random
 from collections.abc import Callable
@@ -6,11 +6,17 @@
 
 from returns import result
 
-from toucanfold import exceptions, founding, leading, members, messages, raftlog
+from toucanfold import (
+    election,
+    exceptions,
+    founding,
+    leading,
+    members,
+    messages,
+    raftlog,
+)
 from toucanfold.rafttypes import (
     ANNOUNCE_S,
-    ELECTION_MAX_S,
-    ELECTION_MIN_S,
     MAX_COMMAND_BYTES,
     Founding,
     Kind,
@@ -21,7 +27,7 @@
 _RESEND = "resend it with the same operation id to the leader"
 
 
-class Raft:
+class Raft(election.Elector):
     """One member's state machine; it does no I/O.
 
     The driver calls on_tick and on_message, then take_early, take_ready and on_stored.
@@ -30,26 +36,14 @@
 
     __slots__ = (
         "_announce_at",
-        "_election_at",
         "_founder",
         "_handlers",
-        "_heard_at",
-        "_late",
-        "_lead",
         "_partial",
         "_pending_snapshot",
-        "_rng",
         "_saved_vote",
         "_stored_vote",
-        "_votes",
         "announced",
         "commit_index",
-        "key",
-        "leader",
-        "log",
-        "role",
-        "term",
-        "vote",
     )
 
     def __init__(
@@ -61,26 +55,15 @@
         rng: random.Random,
         now: float,
     ):
-        self.key = key
-        self.term, self.vote = vote
-        self.log = log
+        super().__init__(key, vote, log, rng, now)
         self.commit_index = log.snapshot.index
-        self.leader = ""
-        self.role = Role.FOLLOWER if log.membership else Role.BLANK
         # Ids of instances that wait to be added, by name.
         self.announced: dict[str, str] = {}
         self._founder = founding.Founder(key, plan)
-        self._rng = rng
         self._saved_vote = self._stored_vote = vote
-        self._votes: set[str] = set()
-        self._lead: leading.Lead | None = None
-        self._heard_at = float("-inf")
-        self._election_at = 0.0
-        self._start_timer(now)
         self._announce_at = now
         self._partial = leading.PartialSnapshot()
         self._pending_snapshot: raftlog.Snapshot | None = None
-        self._late: list[messages.Raft] = []
         self._handlers: dict[int, Callable[[float, messages.Raft], None]] = {
             Kind.PRE_VOTE: self._on_pre_vote,
             Kind.PRE_VOTE_REPLY: self._on_pre_vote_reply,
@@ -93,16 +76,6 @@
             Kind.TIMEOUT_NOW: self._on_timeout_now,
         }
 
-    @property
-    def membership(self) -> members.Membership:
-        """The latest membership in the log, committed or not."""
-        return self.log.membership
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this member leads its term."""
-        return self.role is Role.LEADER
-
     def on_tick(self, now: float) -> None:
         """Do what is due at this time."""
         if self.role is Role.BLANK:
@@ -115,12 +88,15 @@
                 self._start_pre_vote(now)
 
     def on_message(self, now: float, message: messages.Raft) -> None:
-        """Handle a message; those for another id of this name are dropped."""
+        """Handle a message; those for another id of this name are dropped.
+
+        A member without state may vote: it has acknowledged nothing under its id.
+        """
         if message.kind == Kind.ANNOUNCE:
             self._on_announce(now, message)
         elif message.receiver != self.key or message.kind not in self._handlers:
             self._on_founded(now, message)
-        elif self._may_handle(message) and self._check_term(now, message):
+        elif self._check_term(now, message):
             self._handlers[message.kind](now, message)
 
     def take_early(self, now: float) -> list[messages.Raft]:
@@ -167,6 +143,8 @@
         if self._lead is None and ready.snapshot is None:
             self.log.truncate(self.log.stable + 1)
             self.commit_index = min(self.commit_index, self.log.last_index)
+            if not self.membership:
+                self.role = Role.BLANK
         self._late.clear()
 
     def committed(self, applied: int) -> list[messages.Entry]:
@@ -292,93 +270,6 @@
         if self.role is Role.BLANK and self._founder.accepts(message):
             self._found(now, message.entries[0])
 
-    def _may_handle(self, message: messages.Raft) -> bool:
-        return self.role is not Role.BLANK or message.kind in (
-            Kind.APPEND,
-            Kind.SNAPSHOT,
-        )
-
-    def _start_timer(self, now: float) -> None:
-        self._reset_election(now)
-        if self.membership.voters == {self.key}:
-            # A single voter has nobody to wait for.
-            self._election_at = now
-
-    def _check_term(self, now: float, message: messages.Raft) -> bool:
-        """Adopt a newer term; False if the message must not be handled further."""
-        if message.kind == Kind.PRE_VOTE:
-            return True
-        if message.term > self.term:
-            if message.kind == Kind.PRE_VOTE_REPLY and message.granted:
-                return True
-            if (
-                message.kind == Kind.VOTE
-                and self._is_sticky(now)
-                and not message.granted
-            ):
-                return False
-            self._become_follower(now, message.term, "")
-        elif message.term < self.term:
-            if message.kind in (Kind.APPEND, Kind.SNAPSHOT):
-                self._late.append(self._reply(Kind.APPEND_REPLY, message))
-            elif message.kind == Kind.VOTE:
-                self._late.append(self._reply(Kind.VOTE_REPLY, message))
-            return False
-        return True
-
-    def _is_sticky(self, now: float) -> bool:
-        """Whether a leader was heard so recently that no election is needed."""
-        if self._lead is not None:
-            return self.membership.is_quorum(self._lead.reachable(now))
-        return bool(self.leader) and now < self._heard_at + ELECTION_MIN_S
-
-    def _become_follower(self, now: float, term: int, leader: str) -> None:
-        if term > self.term:
-            self.term, self.vote = term, ""
-        self.role = Role.FOLLOWER
-        self.leader = leader
-        self._lead = None
-        self._votes.clear()
-        self._reset_election(now)
-
-    def _reset_election(self, now: float) -> None:
-        self._election_at = now + self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
-
-    def _start_pre_vote(self, now: float) -> None:
-        self._become_follower(now, self.term, "")
-        self.role = Role.PRE_CANDIDATE
-        self._ask_votes(Kind.PRE_VOTE, self.term + 1, False)
-        self._count_vote(now, self.key)
-
-    def _start_election(self, now: float, is_transfer: bool) -> None:
-        self._become_follower(now, self.term + 1, "")
-        self.role = Role.CANDIDATE
-        self.vote = self.key
-        self._ask_votes(Kind.VOTE, self.term, is_transfer)
-
-    def _ask_votes(self, kind: Kind, term: int, is_transfer: bool) -> None:
-        for key in sorted(self.membership.voters - {self.key}):
-            self._late.append(
-                messages.Raft(
-                    kind=int(kind),
-                    sender=self.key,
-                    receiver=key,
-                    term=term,
-                    last_index=self.log.last_index,
-                    last_term=self.log.last_term,
-                    granted=is_transfer,
-                )
-            )
-
-    def _count_vote(self, now: float, key: str) -> None:
-        self._votes.add(key)
-        if not self.membership.is_quorum(self._votes):
-            return
-        if self.role is Role.PRE_CANDIDATE:
-            self._start_election(now, False)
-        else:
-            self._become_leader(now)
-
     def _become_leader(self, now: float) -> None:
         self.role = Role.LEADER
         self.leader = self.key
@@ -386,48 +277,6 @@
         # Entries of earlier terms commit only together with one of this term.
         self._append(raftlog.KIND_NOOP, b"")
 
-    def _on_pre_vote(self, now: float, message: messages.Raft) -> None:
-        reply = self._reply(Kind.PRE_VOTE_REPLY, message)
-        reply.granted = (
-            message.term > self.term
-            and not self._is_sticky(now)
-            and self._is_up_to_date(message)
-        )
-        reply.term = message.term if reply.granted else self.term
-        self._late.append(reply)
-
-    def _on_pre_vote_reply(self, now: float, message: messages.Raft) -> None:
-        is_current = message.granted and message.term == self.term + 1
-        if self.role is Role.PRE_CANDIDATE and is_current:
-            self._count_vote(now, message.sender)
-
-    def _on_vote(self, now: float, message: messages.Raft) -> None:
-        reply = self._reply(Kind.VOTE_REPLY, message)
-        may_vote = self.vote in ("", message.sender) and self._lead is None
-        if may_vote and self._is_up_to_date(message):
-            reply.granted = True
-            self.vote = message.sender
-            self._reset_election(now)
-        self._late.append(reply)
-
-    def _on_vote_reply(self, now: float, message: messages.Raft) -> None:
-        if self.role is Role.CANDIDATE and message.granted:
-            self._count_vote(now, message.sender)
-
-    def _is_up_to_date(self, message: messages.Raft) -> bool:
-        own = (self.log.last_term, self.log.last_index)
-        return (message.last_term, message.last_index) >= own
-
-    def _on_timeout_now(self, now: float, message: messages.Raft) -> None:
-        if self.key in self.membership.voters and self._lead is None:
-            self._start_election(now, True)
-
-    def _follow(self, now: float, message: messages.Raft) -> None:
-        if self.role is not Role.FOLLOWER or self.leader != message.sender:
-            self._become_follower(now, message.term, message.sender)
-        self._heard_at = now
-        self._reset_election(now)
-
     def _on_append(self, now: float, message: messages.Raft) -> None:
         self._follow(now, message)
         reply = self._reply(Kind.APPEND_REPLY, message)
@@ -510,15 +359,6 @@
         if self._lead is not None:
             self.commit_index = self._lead.committed(self.commit_index)
 
-    def _reply(self, kind: Kind, message: messages.Raft) -> messages.Raft:
-        return messages.Raft(
-            kind=int(kind),
-            sender=self.key,
-            receiver=message.sender,
-            term=self.term,
-            read_sequence=message.read_sequence,
-        )
-
 
 def _refused(message: str, remedy: str) -> result.Failure:
     return result.Failure(exceptions.ValidationError(message, remedy))
--- a/toucanfold/storage.py
+++ b/toucanfold/storage.py
@@ -5,6 +5,7 @@
 import re
 import secrets
 import zlib
+from collections.abc import Callable
 
 from absl import logging
 
@@ -63,6 +64,11 @@
         return self.ends[-1] if self.ends else 0
 
 
+def new_member_id() -> str:
+    """Return a random id for a member whose data folder is new."""
+    return secrets.token_hex(8)
+
+
 def log_name(first: int) -> str:
     """Return the name of the segment that starts with an index."""
     return f"log-{first:020d}"
@@ -109,12 +115,18 @@
 
     __slots__ = ("_files", "_segments", "entries", "meta", "snapshot")
 
-    def __init__(self, folder: files.Files, fleet: str, name: str):
+    def __init__(
+        self,
+        folder: files.Files,
+        fleet: str,
+        name: str,
+        new_id: Callable[[], str] = new_member_id,
+    ):
         self._files = folder
         self._segments: list[_Segment] = []
         self.snapshot = raftlog.EMPTY_SNAPSHOT
         self.entries: list[messages.Entry] = []
-        self.meta = self._open_meta(fleet, name)
+        self.meta = self._open_meta(fleet, name, new_id)
         self._read_snapshot()
         self._read_log()
 
@@ -155,9 +167,8 @@
         previous = self.snapshot
         self._write_snapshot(snapshot)
         self._remove_snapshot(previous)
-        last = self._segments[-1].last if self._segments else 0
-        if last > snapshot.index - keep_entries and self._segments[-1].ends:
-            self._add_segment(last + 1)
+        if self._segments and self._segments[-1].ends:
+            self._add_segment(self._segments[-1].last + 1)
         oldest_kept = snapshot.index - keep_entries + 1
         while len(self._segments) > 1 and self._segments[0].last < oldest_kept:
             self._files.remove(self._segments.pop(0).name)
@@ -171,7 +182,7 @@
         self._remove_snapshot(previous)
         self._files.sync_folder()
 
-    def _open_meta(self, fleet: str, name: str) -> Meta:
+    def _open_meta(self, fleet: str, name: str, new_id: Callable[[], str]) -> Meta:
         names = self._files.names()
         for temporary in names:
             if temporary.endswith(TEMPORARY_SUFFIX):
@@ -189,7 +200,7 @@
             _SNAPSHOT_PATTERN.fullmatch(item) for item in names
         ):
             raise self._corruption(META, 0, "the file is missing beside a log")
-        meta = Meta(fleet, name, secrets.token_hex(8))
+        meta = Meta(fleet, name, new_id())
         self._write_meta(meta)
         return meta
 
