Run recorded calls at the owner of their slot

Cause: the daemon had no owner of outcome slots, two sets of limiter and queue interfaces existed, and results of calls were compared across two enums, so that every call counted as failed for the limiter. Change: one set of interfaces (admission, limiter); the owner, the slot plan and marks of whole copies are wired; levels are learnt per route and client account.

--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from toucanfold import (
+    admission,
     calls,
     cmdline,
     config,
@@ -22,6 +23,7 @@
     forward,
     httpclient,
     httpserver,
+    limiter,
     limits,
     link,
     linkcalls,
@@ -29,11 +31,11 @@
     messages,
     metrics,
     model,
+    owner,
     parts,
     peers,
     plugins,
     pressure,
-    queueing,
     retries,
     router,
     spending,
@@ -56,18 +58,16 @@
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
-class _IncomingCalls:
-    """Runs calls from links: recorded ones at their owner, others at the target."""
+class _Incoming:
+    """Runs calls from links; the runner is set once the parts exist."""
 
-    def __init__(self, dispatcher: dispatch.Dispatcher):
-        self.owner: linkcalls.CallRunner | None = None
-        self._dispatcher = dispatcher
+    def __init__(self) -> None:
+        self.runner: linkcalls.CallRunner | None = None
 
     async def run(self, call: calls.Call) -> calls.Answer:
         """Return the answer of a call that another daemon sent."""
-        if call.slot >= 0 and self.owner is not None:
-            return await self.owner.run(call)
-        return await self._dispatcher.run(call)
+        assert self.runner is not None
+        return await self.runner.run(call)
 
 
 class Daemon:
@@ -94,7 +94,7 @@
         self.service: str = self._get("service")
         self.tokens = calls.TokenTable()
         self.dispatcher = self._make_dispatcher()
-        self.incoming = _IncomingCalls(self.dispatcher)
+        self.incoming = _Incoming()
         self.peers = peers.Peers(
             identity,
             self.service,
@@ -109,7 +109,20 @@
             self._get("region_budget"),
             self.rng,
         )
-        self.forwarder = self._make_forwarder()
+        self.sender = self._make_sender()
+        self.owner = owner.Owner(
+            identity.name, identity.incarnation, self.sender, self.peers
+        )
+        self.incoming.runner = forward.Local(self.owner, self.dispatcher)
+        self.peers.owner = self.owner
+        self.forwarder = forward.Forwarder(
+            identity.name,
+            self.sender,
+            self.owner,
+            self.peers,
+            self.router,
+            lambda: self.source.state,
+        )
         self.entry = self._make_entry()
         self.egress = egress.Egress(
             source, self.tokens, self.forwarder, self.metrics, self._get("max_depth")
@@ -203,7 +216,34 @@
         }
 
     def _is_empty(self) -> bool:
-        return not self.running and not self.callers.busy
+        is_served = not self.running and not self.callers.busy
+        return is_served and self.owner.is_idle and not self._has_slots()
+
+    def _has_slots(self) -> bool:
+        """Whether slots still name this daemon although others could take them."""
+        name, incarnation = self._identity.name, self._identity.incarnation
+        state = self.source.state
+        if not self.source.is_fresh(asyncio.get_running_loop().time()):
+            # Control cannot be reached, so nothing can be handed over.
+            return False
+        if not any(
+            target.state == "up" and target.name != name
+            for target in state.targets_of(self.service)
+        ):
+            return False
+        return any(
+            (slot.owner, slot.owner_incarnation) == (name, incarnation)
+            or (slot.backup, slot.backup_incarnation) == (name, incarnation)
+            for slot in state.slots.values()
+        )
+
+    def complete_copies(self) -> list[messages.SlotMark]:
+        """Return the slots of which this daemon, as backup, has a whole copy."""
+        return [
+            messages.SlotMark(number, epoch)
+            for service, number, epoch in self.owner.complete_copies()
+            if service == self.service
+        ]
 
     def _get(self, name: str) -> Any:
         return self._settings.get("daemon", name)
@@ -226,29 +266,20 @@
             pool,
             self.tokens,
             self.metrics,
-            queueing.FixedLimiter(),
-            queueing.FifoQueue(),
+            limiter.Delivery(),
+            admission.Fair(),
         )
 
-    def _make_forwarder(self) -> forward.Forwarder:
-        name = self._identity.name
-        sender = forward.Sender(
-            name,
+    def _make_sender(self) -> forward.Sender:
+        self.peers.on_link = self.router.on_link
+        return forward.Sender(
+            self._identity.name,
             self.router,
             retries.Budgets(),
             self.dispatcher,
             self.peers,
             lambda: self.source.state,
         )
-        self.peers.on_link = self.router.on_link
-        return forward.Forwarder(
-            name,
-            sender,
-            self.incoming,
-            self.peers,
-            self.router,
-            lambda: self.source.state,
-        )
 
     def _make_entry(self) -> entry.Entry:
         return entry.Entry(
@@ -264,7 +295,9 @@
 
     def _on_state(self, state: model.FleetState) -> None:
         """Follow the directory and the plug-ins of the most important profile."""
-        self.router.update(asyncio.get_running_loop().time(), state)
+        now = asyncio.get_running_loop().time()
+        self.router.update(now, state)
+        self.owner.on_state(now, state)
         profile = _leading_profile(state, self.service)
         if profile is None:
             return
@@ -398,7 +431,9 @@
         source = make_watch(setup, identity, holder)
         rate = spending.Spender(holder, source.ping_soon)
         source.start()
-        await serve(Daemon(settings, identity, source, contexts, rate=rate))
+        daemon = Daemon(settings, identity, source, contexts, rate=rate)
+        source.complete_copies = daemon.complete_copies
+        await serve(daemon)
 
     asyncio.run(run())
     return 0
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -5,20 +5,22 @@
 from collections.abc import Callable
 
 from toucanfold import (
+    admission,
     bodies,
     calls,
     exceptions,
     headers,
     httpclient,
     kernel,
+    limiter,
     metrics,
     model,
-    queueing,
 )
 
 WINDOW_S = 0.1
 # Weight of the newest sample in the mean time that a call runs.
 SERVICE_TIME_GAIN = 0.1
+RETRY_AFTER_MS = 200
 RANK_NAMES = {rank: name for name, rank in model.CLASS_RANKS.items()}
 
 
@@ -43,8 +45,8 @@
         pool: httpclient.Pool,
         tokens: calls.TokenTable,
         measured: metrics.Metrics,
-        limiter: queueing.ConcurrencyLimiter,
-        queue: queueing.AdmissionQueue,
+        concurrency: limiter.ConcurrencyLimiter,
+        queue: admission.AdmissionQueue,
     ):
         self.pool = pool
         self.tokens = tokens
@@ -52,12 +54,12 @@
         self.level = calls.MAX_LEVEL
         # Called with the token of a call that ended without its target's answer.
         self.on_abandoned: Callable[[calls.CallToken], None] | None = None
-        self._limiter = limiter
+        self._limiter = concurrency
         self._queue = queue
         self._metrics = measured
         self._loop = asyncio.get_running_loop()
         self._ids = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[calls.Kind | None]] = {}
+        self._waiting: dict[int | str, asyncio.Future[calls.Kind | None]] = {}
         self._service_time_s = 0.0
         self._window: asyncio.TimerHandle | None = None
 
@@ -83,12 +85,12 @@
 
     def replace(
         self,
-        limiter: queueing.ConcurrencyLimiter,
-        queue: queueing.AdmissionQueue,
+        concurrency: limiter.ConcurrencyLimiter,
+        queue: admission.AdmissionQueue,
     ) -> None:
         """Change the plug-ins; waiting calls move to the new queue in order."""
         now = self._loop.time()
-        self._limiter, old, self._queue = limiter, self._queue, queue
+        self._limiter, old, self._queue = concurrency, self._queue, queue
         while True:
             ticket, refused = old.take(now, 0.0)
             self._refuse(refused)
@@ -101,7 +103,7 @@
         """Wait for a place, send the call to the target and return its answer."""
         now = self._loop.time()
         if call.deadline <= now:
-            return self._stamp(_too_late(), None)
+            return self._stamp(_too_late(), call.account, None)
         call_id = next(self._ids)
         granted = self._loop.create_future()
         self._waiting[call_id] = granted
@@ -120,7 +122,11 @@
         )
         if refusal is not None:
             self._metrics.count(f"refused.{refusal}")
-            return self._stamp(calls.refuse(refusal, "not dispatched"), None)
+            return self._stamp(
+                calls.refuse(refusal, "not dispatched", retry_after_ms=RETRY_AFTER_MS),
+                call.account,
+                None,
+            )
         return await self._dispatch(call, started_at)
 
     async def _wait(
@@ -152,7 +158,7 @@
         self._waiting.pop(call_id, None)
         self._queue.remove(call_id)
 
-    def _refuse(self, refused: queueing.Refused) -> None:
+    def _refuse(self, refused: admission.Refused) -> None:
         for ticket, kind in refused:
             granted = self._waiting.pop(ticket.call_id, None)
             if granted is not None and not granted.done():
@@ -184,28 +190,28 @@
             running.timer = self._loop.call_at(call.deadline, self._on_late, running)
             answer, kind = await self._exchange(call, running)
         except BaseException:
-            self._end(running, queueing.FinishKind.CANCELLED)
+            self._end(running, limiter.FinishKind.CANCELLED)
             raise
         answer.target_seconds = self._loop.time() - started_at
         stream = answer.body_stream
         if isinstance(stream, bodies.BodyStream):
             stream.on_end(
                 lambda complete: self._end(
-                    running, kind if complete else queueing.FinishKind.CANCELLED
+                    running, kind if complete else limiter.FinishKind.CANCELLED
                 )
             )
         else:
             self._end(running, kind)
-        return self._stamp(answer, token)
+        return self._stamp(answer, call.account, token)
 
     async def _exchange(
         self, call: calls.Call, running: _Running
-    ) -> tuple[calls.Answer, queueing.FinishKind]:
+    ) -> tuple[calls.Answer, limiter.FinishKind]:
         acquired = await self._acquire(call)
         if isinstance(acquired, calls.Answer):
-            kind = queueing.FinishKind.SHED
+            kind = limiter.FinishKind.SHED
             if acquired.refusal and acquired.refusal.kind == "deadline_exceeded":
-                kind = queueing.FinishKind.TIMEOUT
+                kind = limiter.FinishKind.TIMEOUT
             return acquired, kind
         running.connection = acquired
         exchanged = await acquired.exchange(
@@ -236,7 +242,7 @@
 
     def _failed(
         self, call: calls.Call, error: exceptions.TargetError
-    ) -> tuple[calls.Answer, queueing.FinishKind]:
+    ) -> tuple[calls.Answer, limiter.FinishKind]:
         outcome = calls.Outcome.UNKNOWN if error.sent else calls.Outcome.NOT_RUN
         if error.answered:
             outcome = calls.Outcome.RAN
@@ -244,9 +250,9 @@
             late = calls.refuse(
                 calls.Kind.DEADLINE_EXCEEDED, "the target did not answer", outcome
             )
-            return late, queueing.FinishKind.TIMEOUT
+            return late, limiter.FinishKind.TIMEOUT
         failed = calls.refuse(calls.Kind.TARGET_FAILED, error.message, outcome)
-        return failed, queueing.FinishKind.FAILED
+        return failed, limiter.FinishKind.FAILED
 
     def _target_headers(
         self, call: calls.Call, token: calls.CallToken
@@ -275,30 +281,31 @@
         if running.connection is not None and not running.ended:
             running.connection.abort()
 
-    def _end(self, running: _Running, kind: queueing.FinishKind) -> None:
+    def _end(self, running: _Running, kind: limiter.FinishKind) -> None:
         if running.ended:
             return
         running.ended = True
         now = self._loop.time()
         if running.timer is not None:
             running.timer.cancel()
-        self.in_flight -= 1
         own_time_s = running.token.own_seconds(running.started_at, now)
-        if kind == queueing.FinishKind.OK:
+        if kind == limiter.FinishKind.OK:
             took = now - running.started_at
             self._service_time_s += SERVICE_TIME_GAIN * (took - self._service_time_s)
         self._limiter.on_finish(now, own_time_s, self.in_flight, kind)
+        self.in_flight -= 1
         self.tokens.end(running.token)
-        if kind not in (queueing.FinishKind.OK, queueing.FinishKind.SHED):
+        if kind not in (limiter.FinishKind.OK, limiter.FinishKind.SHED):
             self._metrics.count(f"target.{kind.name.lower()}")
             if self.on_abandoned is not None:
                 self.on_abandoned(running.token)
         self._pump(now)
 
     def _stamp(
-        self, answer: calls.Answer, token: calls.CallToken | None
+        self, answer: calls.Answer, account: str, token: calls.CallToken | None
     ) -> calls.Answer:
-        answer.level = self.level if token is None else min(self.level, token.level)
+        level = self._queue.level_of(account)
+        answer.level = level if token is None else min(level, token.level)
         answer.attempts_spent = 0 if token is None else token.attempts_spent
         answer.limit = self.limit
         answer.in_flight = self.in_flight + len(self._queue)
@@ -312,8 +319,8 @@
         self._window = self._loop.call_at(now + WINDOW_S, self._on_window)
 
 
-def _ticket(call_id: int, call: calls.Call, now: float) -> queueing.Ticket:
-    return queueing.Ticket(
+def _ticket(call_id: int, call: calls.Call, now: float) -> admission.Ticket:
+    return admission.Ticket(
         call_id,
         call.account,
         call.weight,
@@ -332,14 +339,14 @@
 
 def _answered(
     answer: httpclient.TargetAnswer,
-) -> tuple[calls.Answer, queueing.FinishKind]:
+) -> tuple[calls.Answer, limiter.FinishKind]:
     if answer.status != 503:
         kept = headers.for_caller(answer.headers)
         return (
             calls.Answer(
                 answer.status, kept, answer.body, body_stream=answer.body_stream
             ),
-            queueing.FinishKind.OK,
+            limiter.FinishKind.OK,
         )
     if headers.find(answer.headers, b"toucanfold-not-run") == b"1":
         bodies.drop(answer.body_stream)
@@ -350,24 +357,21 @@
             "the target refused the call",
             retry_after_ms=retry_after_ms,
         )
-        return refused, queueing.FinishKind.SHED
+        return refused, limiter.FinishKind.SHED
     kept = headers.for_caller(answer.headers)
     passed = calls.Answer(503, kept, answer.body, body_stream=answer.body_stream)
-    return passed, queueing.FinishKind.SHED
+    return passed, limiter.FinishKind.SHED
 
 
 def create_plugins(
     profile: model.Profile,
-) -> tuple[queueing.ConcurrencyLimiter, queueing.AdmissionQueue]:
+) -> tuple[limiter.ConcurrencyLimiter, admission.AdmissionQueue]:
     """Create the limiter and the queue that a profile names, or the baselines."""
-    limiter = kernel.create("limiter", profile.limiter)
+    concurrency = kernel.create("limiter", profile.limiter)
     queue = kernel.create(
         "admission",
         profile.admission,
-        queue_ms=profile.queue_ms,
-        queue_length=profile.queue_length,
-    )
-    return (
-        limiter.value_or(queueing.FixedLimiter()),
-        queue.value_or(queueing.FifoQueue()),
+        length=profile.queue_length,
+        time_s=profile.queue_ms / 1000,
     )
+    return concurrency.value_or(limiter.Fixed()), queue.value_or(admission.Fifo())
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -160,9 +160,10 @@
         self, request: httpserver.Request, admitted: Admitted
     ) -> calls.Answer:
         call = _to_call(request, admitted)
-        route = admitted.route.name
         now = self._loop.time()
-        if not self._levels.admits(now, route, call.level, self._rng):
+        # Fair shares make the level of one route differ between client accounts.
+        key = f"{admitted.route.name}\0{call.account}"
+        if not self._levels.admits(now, key, call.level, self._rng):
             bodies.drop(call.body_stream)
             return calls.refuse(
                 calls.Kind.OVERLOADED, "a service of this route is overloaded"
@@ -177,7 +178,7 @@
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
-        self._levels.on_answer(self._loop.time(), route, answer.level)
+        self._levels.on_answer(self._loop.time(), key, answer.level)
         return answer
 
     def _observe(
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Protocol
 
 from absl import logging
@@ -94,7 +94,17 @@
         """Take back the shares of an incarnation that has ended."""
 
 
-Planner = Callable[[float, model.FleetState], list[model.Slot]]
+# Service, number and epoch of a slot.
+Mark = tuple[str, int, int]
+
+
+class Planner(Protocol):
+    """What the leader needs of slots.plan."""
+
+    def __call__(
+        self, now: float, state: model.FleetState, complete: Collection[Mark]
+    ) -> list[model.Slot]:
+        """Return the slots to assign next."""
 
 
 class Leadership:
@@ -120,6 +130,8 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._present: dict[str, int] = {}
         self._planned_revision = -1
+        # Whole copies by daemon and incarnation, as reported in this lead.
+        self._complete: dict[tuple[str, int], frozenset[Mark]] = {}
         self._handlers: dict[str, Callable[[Payload], Awaitable[Reply]]] = {
             "command": self._on_command,
             "pings": self._on_pings,
@@ -238,6 +250,7 @@
                 continue
             if ping.get("announcement"):
                 self._announce(ping["announcement"])
+            self._note_copies(ping)
             shares = self._grant(now, ping)
             grants.append([dataclasses.astuple(share) for share in shares])
         term = self._replica.term
@@ -263,6 +276,30 @@
             [messages.Share(*fields) for fields in ping.get("shares", ())],
         )
 
+    def _note_copies(self, ping: Payload) -> None:
+        """Keep the marks of a daemon; a change of them starts another plan."""
+        target = self._store.state.targets.get(ping["daemon"])
+        if target is None or target.incarnation != ping["incarnation"]:
+            return
+        key = (target.name, target.incarnation)
+        marks = frozenset(
+            (target.service, number, epoch)
+            for number, epoch in ping.get("complete", ())
+        )
+        if marks != self._complete.get(key, frozenset()):
+            self._complete[key] = marks
+            self._planned_revision = -1
+
+    def _complete_marks(self) -> set[Mark]:
+        """Return the marks of the incarnations that the directory holds."""
+        present = {
+            (target.name, target.incarnation)
+            for target in self._store.state.targets.values()
+        }
+        kept = self._complete.items()
+        self._complete = {key: marks for key, marks in kept if key in present}
+        return set().union(*self._complete.values())
+
     def _announce(self, target: Payload) -> None:
         command = commands.AnnounceTarget(target=target)
         planned = store.plan(self._store.state, command)
@@ -289,7 +326,7 @@
             return
         now = asyncio.get_running_loop().time()
         revision = self._store.revision
-        slots = self._planner(now, self._store.state)
+        slots = self._planner(now, self._store.state, self._complete_marks())
         if not slots:
             self._planned_revision = revision
             return
@@ -337,6 +374,7 @@
     def _start_lead(self, term: int) -> None:
         self._led_term = term
         self._planned_revision = -1
+        self._complete = {}
         now = asyncio.get_running_loop().time()
         logging.info("leading control in term %d", term)
         self._liveness.on_lead(now)
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -165,6 +165,11 @@
   state @6 :Text;
 }
 
+struct SlotMark {
+  slot @0 :UInt16;
+  epoch @1 :UInt64;
+}
+
 struct WatchPing {
   sequence @0 :UInt64;
   appliedRevision @1 :UInt64;
@@ -172,6 +177,7 @@
   demands @3 :List(Demand);
   shares @4 :List(Share);
   raftTerm @5 :UInt64;
+  complete @6 :List(SlotMark);
 }
 
 struct WatchPong {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -255,18 +255,33 @@
     state: str = "up"
 
 
+@dataclasses.dataclass(slots=True)
+class SlotMark(Message):
+    """A slot of the sender's service at an epoch."""
+
+    slot: int = 0
+    epoch: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class WatchPing(Message):
     """A daemon's periodic report to control."""
 
     TAG = "watchPing"
-    NESTED = {"announcement": Announcement, "demands": Demand, "shares": Share}
+    NESTED = {
+        "announcement": Announcement,
+        "demands": Demand,
+        "shares": Share,
+        "complete": SlotMark,
+    }
     sequence: int = 0
     applied_revision: int = 0
     announcement: Announcement = dataclasses.field(default_factory=Announcement)
     demands: list[Demand] = dataclasses.field(default_factory=list)
     shares: list[Share] = dataclasses.field(default_factory=list)
     raft_term: int = 0
+    # Slots of which the sender, as backup, holds a whole copy of the records.
+    complete: list[SlotMark] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -80,6 +80,8 @@
         self._announcement = announcement
         self._holder = holder
         self._tls = tls
+        # Returns the slots of which this daemon holds a whole copy.
+        self.complete_copies: Callable[[], list[messages.SlotMark]] = list
         self._known = watchstate.WatchState()
         self.state = self._known.state
         self._callbacks: list[Callback] = []
@@ -303,6 +305,7 @@
             applied_revision=self._known.revision,
             announcement=self._announcement,
             raft_term=self._known.raft_term,
+            complete=self.complete_copies(),
         )
         if self._holder is not None:
             ping.demands = self._holder.demands(now)
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -117,6 +117,8 @@
             "applied": ping.applied_revision,
             "raft_term": ping.raft_term,
         }
+        if ping.complete:
+            packed["complete"] = [dataclasses.astuple(item) for item in ping.complete]
         if ping.demands:
             packed["demands"] = [dataclasses.astuple(item) for item in ping.demands]
         if ping.shares:
