--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -79,6 +79,7 @@
   level @11 :UInt16;
   limit @12 :UInt32;
   inFlight @13 :UInt32;
+  targetUs @14 :UInt64;
 }
 
 struct Body {
@@ -143,6 +144,7 @@
   account @0 :Text;
   rate @1 :Float64;
   burst @2 :Float64;
+  tokens @3 :Float64;
 }
 
 struct Share {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -119,6 +119,7 @@
     level: int = 0
     limit: int = 0
     in_flight: int = 0
+    target_us: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -219,11 +220,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Demand(Message):
-    """What a daemon would spend for one client account (tokens/s, tokens)."""
+    """What a daemon would spend for one client account (tokens/s, tokens).
+
+    rate is the offered load, burst the wanted capacity, tokens what the bucket holds.
+    """
 
     account: str = ""
     rate: float = 0.0
     burst: float = 0.0
+    tokens: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
