--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -142,6 +142,11 @@
         """Level compared with thresholds; lower is more important."""
         return self.rank * PRIORITY_LEVELS + self.priority
 
+    @property
+    def pressure_key(self) -> str:
+        """Key of the levels learnt from answers: the route and the account."""
+        return f"{self.route}\0{self.account}"
+
     @property
     def is_replayable(self) -> bool:
         """Whether the whole body is at hand for another attempt."""
@@ -205,7 +210,6 @@
         "call",
         "child_seconds",
         "child_since",
-        "level",
         "text",
     )
 
@@ -217,7 +221,6 @@
         self.active_children = 0
         self.child_seconds = 0.0
         self.child_since = 0.0
-        self.level = MAX_LEVEL
 
     def reserve_attempts(self) -> int:
         """Give all attempts that are left to one child call."""
@@ -230,15 +233,14 @@
             self.child_since = now
         self.active_children += 1
 
-    def child_ended(self, now: float, reserved: int, spent: int, level: int) -> None:
-        """Return what the child call did not spend and learn its level."""
+    def child_ended(self, now: float, reserved: int, spent: int) -> None:
+        """Return what the child call did not spend."""
         self.active_children -= 1
         if self.active_children == 0:
             self.child_seconds += now - self.child_since
         spent = min(spent, reserved)
         self.attempts_left += reserved - spent
         self.attempts_spent += spent
-        self.level = min(self.level, level)
 
     def own_seconds(self, started_at: float, now: float) -> float:
         """Return the time since dispatch without waits for child calls."""
--- a/toucanfold/egress.py
+++ b/toucanfold/egress.py
@@ -12,6 +12,7 @@
     metrics,
     model,
     parts,
+    pressure,
     replies,
 )
 
@@ -41,6 +42,7 @@
         forwarder: linkcalls.CallRunner,
         measured: metrics.Metrics,
         max_depth: int,
+        learnt: pressure.LearntLevels | None = None,
     ):
         self.running = 0
         self._lookup = parts.Lookup(source, b"")
@@ -48,6 +50,7 @@
         self._forwarder = forwarder
         self._metrics = measured
         self._max_depth = max_depth
+        self._learnt = learnt or pressure.LearntLevels()
         self._loop = asyncio.get_running_loop()
         self._children: dict[str, set[asyncio.Task[Any]]] = {}
 
@@ -78,13 +81,14 @@
         reserved = token.reserve_attempts()
         token.child_started(self._loop.time())
         self.running += 1
-        spent, level = reserved, calls.MAX_LEVEL
+        spent = reserved
         try:
             answer = await self._run(request, child, reserved)
-            spent, level = answer.attempts_spent, answer.level
+            spent = answer.attempts_spent
+            self._learnt.on_answer(self._loop.time(), token.call.pressure_key, level)
         finally:
             self.running -= 1
-            token.child_ended(self._loop.time(), reserved, spent, level)
+            token.child_ended(self._loop.time(), reserved, spent)
         return replies.response(answer, root_id)
 
     def on_abandoned(self, token: calls.CallToken) -> None:
