--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -93,6 +93,8 @@
         )
         self.service: str = self._get("service")
         self.tokens = calls.TokenTable()
+        # Levels of the services that this daemon's target calls.
+        self.learnt = pressure.LearntLevels()
         self.dispatcher = self._make_dispatcher()
         self.incoming = _Incoming()
         self.peers = peers.Peers(
@@ -125,7 +127,12 @@
         )
         self.entry = self._make_entry()
         self.egress = egress.Egress(
-            source, self.tokens, self.forwarder, self.metrics, self._get("max_depth")
+            source,
+            self.tokens,
+            self.forwarder,
+            self.metrics,
+            self._get("max_depth"),
+            self.learnt,
         )
         self.dispatcher.on_abandoned = self.egress.on_abandoned
         self.callers = httpserver.Server(self.entry, self._limits())
@@ -268,6 +275,7 @@
             self.metrics,
             limiter.Delivery(),
             admission.Fair(),
+            self.learnt,
         )
 
     def _make_sender(self) -> forward.Sender:
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -15,6 +15,7 @@
     limiter,
     metrics,
     model,
+    pressure,
 )
 
 WINDOW_S = 0.1
@@ -47,6 +48,7 @@
         measured: metrics.Metrics,
         concurrency: limiter.ConcurrencyLimiter,
         queue: admission.AdmissionQueue,
+        learnt: pressure.LearntLevels | None = None,
     ):
         self.pool = pool
         self.tokens = tokens
@@ -56,6 +58,7 @@
         self.on_abandoned: Callable[[calls.CallToken], None] | None = None
         self._limiter = concurrency
         self._queue = queue
+        self._learnt = learnt or pressure.LearntLevels()
         self._metrics = measured
         self._loop = asyncio.get_running_loop()
         self._ids = itertools.count(1)
@@ -103,7 +106,7 @@
         """Wait for a place, send the call to the target and return its answer."""
         now = self._loop.time()
         if call.deadline <= now:
-            return self._stamp(_too_late(), call.account, None)
+            return self._stamp(call, _too_late(), None)
         call_id = next(self._ids)
         granted = self._loop.create_future()
         self._waiting[call_id] = granted
@@ -123,8 +126,8 @@
         if refusal is not None:
             self._metrics.count(f"refused.{refusal}")
             return self._stamp(
+                call,
                 calls.refuse(refusal, "not dispatched", retry_after_ms=RETRY_AFTER_MS),
-                call.account,
                 None,
             )
         return await self._dispatch(call, started_at)
@@ -202,7 +205,7 @@
             )
         else:
             self._end(running, kind)
-        return self._stamp(answer, call.account, token)
+        return self._stamp(call, answer, token)
 
     async def _exchange(
         self, call: calls.Call, running: _Running
@@ -302,10 +305,12 @@
         self._pump(now)
 
     def _stamp(
-        self, answer: calls.Answer, account: str, token: calls.CallToken | None
+        self, call: calls.Call, answer: calls.Answer, token: calls.CallToken | None
     ) -> calls.Answer:
-        level = self._queue.level_of(account)
-        answer.level = level if token is None else min(level, token.level)
+        """Add what the caller's daemon learns from every answer."""
+        answer.level = self._learnt.combined(
+            self._loop.time(), call.pressure_key, self._queue.level_of(call.account)
+        )
         answer.attempts_spent = 0 if token is None else token.attempts_spent
         answer.limit = self.limit
         answer.in_flight = self.in_flight + len(self._queue)
@@ -374,4 +379,7 @@
         length=profile.queue_length,
         time_s=profile.queue_ms / 1000,
     )
-    return concurrency.value_or(limiter.Fixed()), queue.value_or(admission.Fifo())
+    return (
+        concurrency.value_or(limiter.Fixed()),
+        queue.value_or(admission.Fifo()),
+    )
