Report the bench's own share of the cores

Cause: on a shared machine the busy share of all cores does not tell whether the bench is limited by its own processes. Change: CPU seconds of the bench's processes are read before and after each run. Conclusion: a run that was disturbed by other work can be told apart.

--- a/tests/test_loadgen.py
+++ b/tests/test_loadgen.py
@@ -51,5 +51,5 @@
     fields = (0.1, 0, 0, 200, "", "ran", 0.1, 1, 0.05)
     late = [loadgen.Record(n, *fields, 0.2) for n in range(100)]
     prompt = [loadgen.Record(n, *fields, 0.001) for n in range(100)]
-    assert loadgen.summary(late, 1, 1)["self_limited"]
-    assert not loadgen.summary(prompt, 1, 1)["self_limited"]
+    assert loadgen.summary(late, 1)["self_limited"]
+    assert not loadgen.summary(prompt, 1)["self_limited"]
--- a/toucanfold/bench.py
+++ b/toucanfold/bench.py
@@ -111,8 +111,10 @@
             subject.deployment, scenario, subject.entries, subject.keys, self._seed
         )
         busy, total = cpu_times()
+        used = self._processes.cpu_s()
         withdrawn_at_s = await self._drive(scenario, plan)
         busy_after, total_after = cpu_times()
+        used_after = self._processes.cpu_s()
         records, facts = self._collect()
         await asyncio.sleep(SETTLE_S)
         counts = await subject.counts()
@@ -126,8 +128,11 @@
             withdrawn_at_s,
         )
         line = score.line(run, subject.policy)
-        share = (busy_after - busy) / max(0.01, total_after - total)
-        progress(f"{label} {scenario.name}: {summary(line, records, share, facts)}")
+        whole = max(0.01, total_after - total)
+        own = sum(max(0.0, used_after[name] - used.get(name, 0)) for name in used_after)
+        own += sum(fact["cpu_s"] for fact in facts)
+        shares = ((busy_after - busy) / whole, own / whole)
+        progress(f"{label} {scenario.name}: {summary(line, records, shares, facts)}")
         if counts.get("leaked_keys"):
             self.problems.append(f"{label} {scenario.name}: targets saw a key")
         return line
@@ -173,7 +178,7 @@
 def summary(
     line: dict[str, Any],
     records: list[loadgen.Record],
-    cpu_share: float,
+    cpu_shares: tuple[float, float],
     facts: list[dict[str, Any]],
 ) -> str:
     """Return a readable line about a run."""
@@ -185,7 +190,8 @@
     late = max(fact["late_p99_ms"] for fact in facts)
     text = (
         f"goodput {line['goodput']}/s of {line['offered']}/s, "
-        f"ratio {line['goodput_ratio']}, cores busy {cpu_share:.0%}, "
+        f"ratio {line['goodput_ratio']}, "
+        f"cores busy {cpu_shares[0]:.0%}, by this bench {cpu_shares[1]:.0%}, "
         f"late p99 {late:.1f} ms, errors {errors}"
     )
     if any(fact["self_limited"] for fact in facts):
--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -4,6 +4,7 @@
 import configparser
 import ctypes
 import json
+import os
 import pathlib
 import secrets
 import shutil
@@ -70,6 +71,15 @@
         """Exit status, None while it runs."""
         return self._child.poll() if self._child is not None else None
 
+    def cpu_s(self) -> float:
+        """Return the CPU seconds used so far, 0 if it does not run."""
+        try:
+            text = pathlib.Path(f"/proc/{self.id}/stat").read_text("ascii")
+        except OSError:
+            return 0.0
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def start(self) -> None:
         """Start the process; its log grows over restarts."""
         with open(self.log, "ab") as log, open(self.output, "ab") as output:
@@ -190,6 +200,10 @@
             "see the log lines in this message",
         )
 
+    def cpu_s(self) -> dict[str, float]:
+        """Return the CPU seconds of each process."""
+        return {name: each.cpu_s() for name, each in self.processes.items()}
+
     async def stop_all(self, timeout_s: float = STOP_TIMEOUT_S) -> list[str]:
         """End all processes together; return those that needed SIGKILL."""
         names = list(self.processes)
--- a/toucanfold/loadgen.py
+++ b/toucanfold/loadgen.py
@@ -267,7 +267,7 @@
         )
 
 
-def summary(records: list[Record], cpu_s: float, duration_s: float) -> dict[str, Any]:
+def summary(records: list[Record], cpu_s: float) -> dict[str, Any]:
     """Return counts, and whether the generator itself was the limit."""
     late = sorted(record.late_s for record in records) or [0.0]
     late_p99_s = late[int(0.99 * (len(late) - 1))]
@@ -275,7 +275,7 @@
         "sent": len(records),
         "good": sum(record.is_good for record in records),
         "late_p99_ms": round(late_p99_s * 1000, 3),
-        "cpu_share": round(cpu_s / max(duration_s, 0.001), 3),
+        "cpu_s": round(cpu_s, 3),
         "self_limited": late_p99_s > LATE_LIMIT_S,
     }
 
@@ -310,7 +310,7 @@
     began = time.process_time()
     asyncio.run(generator.run(shots, start_at))
     cpu_s = time.process_time() - began
-    facts = summary(generator.records, cpu_s, plan.duration_s)
+    facts = summary(generator.records, cpu_s)
     if FLAGS.output:
         write_records(FLAGS.output, generator.records, facts)
     print(json.dumps(facts))
