--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -1,4 +1,6 @@
-from toucanfold import report, score
+import pytest
+
+from toucanfold import capacity, report, score
 
 
 def test_page_holds_every_line_and_its_plots(tmp_path):
@@ -13,3 +15,11 @@
     images = list(tmp_path.glob("*.png"))
     assert len(images) == len(report.PLOTS)
     assert all(image.name in text for image in images)
+
+
+def test_slopes_come_from_all_points():
+    """CAPACITY.md extrapolates from the slope, so it must fit the points."""
+    points = {"cores": [(100.0, 0.3), (200.0, 0.5), (300.0, 0.7)]}
+    (line,) = capacity.fit("daemon", "calls/s", points)
+    assert line["slope"] == pytest.approx(0.002)
+    assert line["intercept"] == pytest.approx(0.1)
--- a/toucanfold/bench.py
+++ b/toucanfold/bench.py
@@ -12,6 +12,7 @@
 
 from toucanfold import (
     benchfleet,
+    capacity,
     cmdline,
     deployments,
     fleet,
@@ -241,7 +242,10 @@
         if unknown:
             return cmdline.fail(f"unknown name {unknown!r}", f"use {', '.join(known)}")
     began = time.monotonic()
-    problems = asyncio.run(_run_all(names, policies))
+    if FLAGS.capacity:
+        problems = capacity.run(progress)
+    else:
+        problems = asyncio.run(_run_all(names, policies))
     progress(f"bench took {time.monotonic() - began:.1f} s")
     for problem in problems:
         progress(f"problem: {problem}")
--- /dev/null
+++ b/toucanfold/capacity.py
@@ -0,0 +1,104 @@
+"""Measures how the cost of each role grows with its load (``bench --capacity``)."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import numpy as np
+
+RATES = (100, 215, 400)
+WATCHERS = (24, 96, 240)
+SECONDS = 5
+RUN_LIMIT_S = 120.0
+CONTROL_MEASURES = (
+    "core_share_of_busiest_control",
+    "core_share_per_watcher",
+    "bytes_per_s_and_watcher",
+    "resident_mb_per_process",
+    "applied_everywhere_max_s",
+    "reported_in_force_max_s",
+)
+
+Points = dict[str, list[tuple[float, float]]]
+
+
+def fit(role: str, driver: str, points: Points) -> list[dict[str, Any]]:
+    """Return a line with intercept and slope for each measure."""
+    lines = []
+    for measure, pairs in points.items():
+        xs, ys = zip(*pairs, strict=True)
+        slope, intercept = np.polyfit(xs, ys, 1) if len(pairs) > 1 else (0.0, ys[0])
+        lines.append(
+            {
+                "role": role,
+                "measure": measure,
+                "driver": driver,
+                "points": [list(pair) for pair in pairs],
+                "intercept": round(float(intercept), 6),
+                "slope": round(float(slope), 9),
+            }
+        )
+    return lines
+
+
+def _output(module: str, *arguments: str) -> str:
+    command = [sys.executable, "-m", f"toucanfold.{module}", *arguments]
+    done = subprocess.run(
+        command,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        timeout=RUN_LIMIT_S,
+        check=True,
+    )
+    return done.stdout.decode()
+
+
+def daemon_points() -> Points:
+    """Measure the daemon at rising rates of calls (calls/s of each kind)."""
+    points: Points = {}
+    for rate in RATES:
+        text = _output("latencybench", f"--rate={rate}", f"--seconds={SECONDS}")
+        for line in text.splitlines():
+            found = json.loads(line)
+            for name in ("p50_added_ms", "p99_added_ms"):
+                if found.get("kind") in ("one", "two"):
+                    measure = f"{found['kind']}_{name}"
+                    points.setdefault(measure, []).append((rate, found[name]))
+            for process, value in found.get("cpu_us_per_call", {}).items():
+                cores = value * rate * 1e-6
+                points.setdefault(f"cores_{process}", []).append((rate, cores))
+    return points
+
+
+def control_points() -> Points:
+    """Measure control at rising numbers of watchers."""
+    points: Points = {}
+    for count in WATCHERS:
+        text = _output(
+            "watchbench", f"--watchers={count}", "--changes=10", f"--quiet_s={SECONDS}"
+        )
+        found = json.loads(text)
+        for measure in CONTROL_MEASURES:
+            points.setdefault(measure, []).append((count, found[measure]))
+    return points
+
+
+def run(progress: Callable[[str], None]) -> list[str]:
+    """Print a JSON line for each measure; return what could not be measured."""
+    problems = []
+    for role, driver, measure in (
+        ("daemon", "calls/s of each kind", daemon_points),
+        ("control", "watchers", control_points),
+    ):
+        progress(f"capacity: {role}")
+        try:
+            points = measure()
+        except (subprocess.SubprocessError, ValueError, KeyError) as error:
+            problems.append(f"capacity of {role} was not measured: {error}")
+            continue
+        for line in fit(role, driver, points):
+            print(json.dumps(line), flush=True)
+    return problems
