Grant rate shares through the watch

Cause: daemons reported demands, but no grants were made. Change: the leader runs leases.Grantor under a confirmed lead, and takes shares back before it proposes the end of an incarnation; the watch pings early when the holder asks for it; the first ping after a pause is relayed at once. Operators set a target up or draining only. Conclusion: a daemon gets shares within 3 s in the new test.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,7 +3,7 @@
 
 import helpers
 
-from toucanfold import adminclient, control, credentials, tls
+from toucanfold import adminclient, control, credentials, exceptions, limits, tls
 
 
 class Fleet:
@@ -184,3 +184,46 @@
         assert status == 400
 
     scenario(tmp_path, test)
+
+
+def test_daemon_spends_granted_shares_until_its_account_is_deleted(tmp_path):
+    """Guards against grants that do not reach the daemon, or outlive the account."""
+
+    async def test(fleet):
+        holder = limits.Holder()
+        watch = helpers.make_watch("t1", [fleet.address], holder)
+        watch.start()
+        await fleet.put("accounts", "operation-1", 0, name="a", rate=50.0, burst=10.0)
+        loop = asyncio.get_running_loop()
+
+        def spends():
+            spent = holder.spend(loop.time(), "a")
+            return spent.kind is limits.SpendKind.SPENT
+
+        async with asyncio.timeout(3):
+            while not spends():
+                await asyncio.sleep(0.1)
+        revision = fleet.control.store.state.accounts["a"].revision
+        await fleet.change(
+            "DELETE", "/v1/accounts/a", "operation-2", expected_revision=revision
+        )
+        await helpers.eventually(lambda: "a" not in watch.state.accounts)
+        assert not spends()
+        await watch.stop()
+
+    scenario(tmp_path, test)
+
+
+def test_full_disk_refuses_changes_and_serves_reads(tmp_path):
+    async def test(fleet):
+        await fleet.put("accounts", "operation-1", 0, name="a", rate=5.0, burst=5.0)
+        full = exceptions.DiskFullError("the disk is full", "free space")
+        fleet.control.replica.failure = full
+        status, value = await fleet.put(
+            "accounts", "operation-2", 1, name="a", rate=6.0, burst=5.0
+        )
+        assert (status, value["error"]["kind"]) == (507, "disk_full")
+        status, value = await fleet.fetch("GET", "/v1/accounts/a")
+        assert (status, value["item"]["rate"]) == (200, 5.0)
+
+    scenario(tmp_path, test)
--- a/toucanfold/adminapi.py
+++ b/toucanfold/adminapi.py
@@ -39,6 +39,8 @@
     "routes": commands.DeleteRoute,
     "accounts": commands.DeleteAccount,
 }
+# The other states follow from announcements, pings and confirmed ends.
+OPERATORS_STATES = ("up", "draining")
 MEMBER_FIELDS = ("name", "member_id", "address", "old_name", "force")
 STATUSES = {"conflict": 409, "operation_reused": 409, "invalid": 422}
 
@@ -229,12 +231,15 @@
 
     async def _set_target_state(self, request: Request, name: str) -> Response:
         fields = request.json()
+        state = _field(fields, "state", str)
+        if state not in OPERATORS_STATES:
+            raise _bad_request(f"state must be {' or '.join(OPERATORS_STATES)}")
         return await self._submit(
             commands.SetTargetState(
                 operation=_operation(fields),
                 name=name,
                 incarnation=_field(fields, "incarnation", int),
-                state=_field(fields, "state", str),
+                state=state,
             )
         )
 
--- a/toucanfold/adminclient.py
+++ b/toucanfold/adminclient.py
@@ -40,6 +40,7 @@
     path: str,
     fields: dict[str, Any] | None = None,
     credential: str = "",
+    timeout_s: float = TIMEOUT_S,
     tls: ssl.SSLContext | None = None,
 ) -> tuple[int, Any]:
     """Send one request; return status and JSON value, raise OSError without one."""
@@ -51,7 +52,7 @@
     connection = h11.Connection(h11.CLIENT)
     host, port = link.split_address(address)
     with contextlib.ExitStack() as stack:
-        opened = stack.enter_context(socket.create_connection((host, port), TIMEOUT_S))
+        opened = stack.enter_context(socket.create_connection((host, port), timeout_s))
         if tls is not None:
             secured = tls.wrap_socket(opened, server_hostname=host)
             opened = stack.enter_context(secured)
@@ -114,7 +115,12 @@
                 time.sleep(PAUSE_S)
             try:
                 status, value = fetch(
-                    address, method, path, fields, self._credential, self._tls
+                    address,
+                    method,
+                    path,
+                    fields,
+                    self._credential,
+                    tls=self._tls,
                 )
             except OSError as error:
                 problem = exceptions.LinkError(
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -20,6 +20,7 @@
     files,
     httpapi,
     leadership,
+    leases,
     link,
     logs,
     messages,
@@ -70,7 +71,7 @@
         self.cluster = cluster.Cluster(self._identity, self.store, contexts.link_client)
         self.replica = replica_factory(self.store, self.cluster.send)
         self.leadership = leadership.Leadership(
-            self.replica, self.store, _make_grantor(), _make_planner()
+            self.replica, self.store, leases.Grantor(), _make_planner()
         )
         self.cluster.attach(self.replica, self.leadership)
         self.watchers = watchers.Watchers(self.store, self.cluster)
@@ -191,23 +192,13 @@
             self.metrics.report()
 
 
-def _optional(module: str) -> Any:
+def _make_planner() -> leadership.Planner | None:
     try:
-        return importlib.import_module(f"toucanfold.{module}")
+        return importlib.import_module("toucanfold.slots").plan
     except ModuleNotFoundError:
         return None
 
 
-def _make_grantor() -> leadership.Grantor | None:
-    found = _optional("leases")
-    return found.Grantor() if found else None
-
-
-def _make_planner() -> leadership.Planner | None:
-    found = _optional("slots")
-    return found.plan if found else None
-
-
 def make_replica(settings: config.Settings) -> ReplicaFactory:
     """Return a factory of the replica on the data folder; raises StorageError."""
     folder = files.LocalFiles(settings.get("control", "data_folder"))
--- a/toucanfold/debug.py
+++ b/toucanfold/debug.py
@@ -41,7 +41,7 @@
         credential = read_credential(FLAGS.credential_file)
         tls = adminclient.tls_context(FLAGS.authority)
         status, value = adminclient.fetch(
-            FLAGS.address, "GET", "/debug", None, credential, tls
+            FLAGS.address, "GET", "/debug", None, credential, tls=tls
         )
     except OSError as error:
         cmdline.fail(f"no state dump: {error}", "check the address and the file")
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -84,13 +84,18 @@
         now: float,
         daemon: str,
         incarnation: int,
+        raft_term: int,
         demands: list[messages.Demand],
         shares: list[messages.Share],
     ) -> list[messages.Share]:
         """Renew a daemon's shares and return its grants."""
 
     def on_ended(self, now: float, daemon: str, incarnation: int) -> None:
-        """Take back the shares of an incarnation that has ended."""
+        """Take back the shares of an incarnation that has ended.
+
+        Called before its end is proposed: the next leader does not wait for it, so it
+        must get no shares while the change is committed.
+        """
 
 
 Planner = Callable[[float, model.FleetState], list[model.Slot]]
@@ -117,7 +122,6 @@
         )
         self._proposing: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._present: dict[str, int] = {}
         self._planned_revision = -1
         self._handlers: dict[str, Callable[[Payload], Awaitable[Reply]]] = {
             "command": self._on_command,
@@ -173,6 +177,8 @@
             return decoded
         command = decoded.unwrap()
         command.at = time.time()
+        if isinstance(command, commands.ConfirmEnded):
+            self._end(command.name, command.incarnation)
         proposed = await self._replica.propose(commands.encode(command))
         return proposed.map(lambda pair: {"outcome": pair[1], "index": pair[0]})
 
@@ -257,6 +263,7 @@
             now,
             ping["daemon"],
             ping["incarnation"],
+            ping.get("raft_term", 0),
             [messages.Demand(*fields) for fields in ping.get("demands", ())],
             [messages.Share(*fields) for fields in ping.get("shares", ())],
         )
@@ -266,12 +273,17 @@
         planned = store.plan(self._store.state, command)
         if isinstance(planned, result.Failure) or planned.unwrap() == store.NOTHING:
             return
+        present = self._store.state.targets.get(target["name"])
+        has_ended = target["state"] == "left"
+        if present and (has_ended or present.incarnation != target["incarnation"]):
+            self._end(present.name, present.incarnation)
         self._propose(f"announce {target['name']}", command)
 
     def _mark_lost(self) -> None:
         now = asyncio.get_running_loop().time()
         for target in self._liveness.lost(now, self._store.state):
             logging.warning("target %s is lost: no ping", target.name)
+            self._end(target.name, target.incarnation)
             command = commands.SetTargetState(
                 name=target.name, incarnation=target.incarnation, state="lost"
             )
@@ -344,18 +356,12 @@
         self._applied_at[self._store.revision] = now
         while len(self._applied_at) > KEPT_REVISIONS:
             self._applied_at.popitem(last=False)
-        if self._grantor is None or self._led_term == -1:
-            return
-        present = {
-            target.name: target.incarnation
-            for target in self._store.state.targets.values()
-            if target.state != "left"
-        }
-        for name, incarnation in self._present.items():
-            if present.get(name) != incarnation:
-                self._grantor.on_ended(now, name, incarnation)
-        self._present = present
-        self._grantor.on_state(now, self._store.state)
+        if self._grantor is not None and self._led_term != -1:
+            self._grantor.on_state(now, self._store.state)
+
+    def _end(self, name: str, incarnation: int) -> None:
+        if self._grantor is not None:
+            self._grantor.on_ended(time.monotonic(), name, incarnation)
 
 
 def _not_leader(leader: str | None) -> result.Failure:
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -14,6 +14,8 @@
 PING_S = 0.5
 # An applied change is confirmed at once, but not more often than this.
 MIN_PING_S = 0.1
+# A call that waits for a grant waits 150 ms at most, so the holder is asked often.
+POLL_S = 0.02
 SILENCE_S = 0.9
 # Pause before another round after all instances failed.
 RETRY_S = 0.2
@@ -31,6 +33,11 @@
 class Holder(Protocol):
     """What the watch needs of limits.Holder."""
 
+    raft_term: int
+
+    def wants_ping(self, now: float) -> bool:
+        """Whether a ping before the regular one would help."""
+
     def demands(self, now: float) -> list[messages.Demand]:
         """Return what the daemon would spend."""
 
@@ -276,15 +283,22 @@
     async def _pause(self) -> None:
         """Wait until the next ping, a wake-up or the end of the silence limit."""
         loop = asyncio.get_running_loop()
-        until_silent = self._answered_at + SILENCE_S - loop.time() + 0.001
-        try:
-            limit_s = min(PING_S - MIN_PING_S, until_silent)
-            async with asyncio.timeout(max(0.0, limit_s)):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
+        end = loop.time() + PING_S - MIN_PING_S
+        end = min(end, self._answered_at + SILENCE_S + 0.001)
+        while (now := loop.time()) < end and not self._wants_ping(now):
+            step_s = end - now if self._holder is None else min(POLL_S, end - now)
+            try:
+                async with asyncio.timeout(step_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
         self._wake.clear()
 
+    def _wants_ping(self, now: float) -> bool:
+        if self._wake.is_set():
+            return True
+        return self._holder is not None and self._holder.wants_ping(now)
+
     def _ping(self, now: float) -> None:
         ping = messages.WatchPing(
             sequence=self._known.on_send(now),
@@ -293,6 +307,7 @@
             raft_term=self._known.raft_term,
         )
         if self._holder is not None:
+            ping.raft_term = self._holder.raft_term
             ping.demands = self._holder.demands(now)
             ping.shares = self._holder.held(now)
         if self._link is not None:
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -9,7 +9,8 @@
 
 from toucanfold import cluster, link, messages, store
 
-# Pings that arrive within this time share one confirmation of the lead.
+# Least time between two requests to the leader; pings that arrive in between share
+# one confirmation of the lead.
 BATCH_S = 0.05
 REQUEST_LIMIT_S = 0.8
 # Keeps a pong below the largest frame (1 MiB).
@@ -36,6 +37,7 @@
         self._sessions: dict[link.Link, Session] = {}
         self._pending: list[tuple[Session, messages.WatchPing]] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._batch_at = float("-inf")
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __len__(self) -> int:
@@ -56,8 +58,9 @@
         session.pings += 1
         self._pending.append((session, message))
         if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(BATCH_S, self._start_batch)
+            # The first ping after a pause goes on at once.
+            at = self._batch_at + BATCH_S
+            self._timer = asyncio.get_running_loop().call_at(at, self._start_batch)
 
     def on_close(self, closed: link.Link, reason: str) -> None:
         """End the session of a daemon."""
@@ -89,6 +92,7 @@
 
     def _start_batch(self) -> None:
         self._timer = None
+        self._batch_at = asyncio.get_running_loop().time()
         batch, self._pending = self._pending, []
         task = asyncio.get_running_loop().create_task(self._answer(batch))
         self._tasks.add(task)
@@ -116,6 +120,8 @@
             "sequence": ping.sequence,
             "applied": ping.applied_revision,
         }
+        if ping.raft_term:
+            packed["raft_term"] = ping.raft_term
         if ping.demands:
             packed["demands"] = [dataclasses.astuple(item) for item in ping.demands]
         if ping.shares:
