--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -263,7 +263,7 @@
             now,
             ping["daemon"],
             ping["incarnation"],
-            ping.get("raft_term", 0),
+            ping["raft_term"],
             [messages.Demand(*fields) for fields in ping.get("demands", ())],
             [messages.Share(*fields) for fields in ping.get("shares", ())],
         )
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -14,8 +14,9 @@
 PING_S = 0.5
 # An applied change is confirmed at once, but not more often than this.
 MIN_PING_S = 0.1
-# A call that waits for a grant waits 150 ms at most, so the holder is asked often.
-POLL_S = 0.02
+# How often the holder is asked whether it has shares to give back; a call that waits
+# for a grant uses ping_soon.
+POLL_S = 0.05
 SILENCE_S = 0.9
 # Pause before another round after all instances failed.
 RETRY_S = 0.2
@@ -33,6 +34,7 @@
 class Holder(Protocol):
     """What the watch needs of limits.Holder."""
 
+    # The newest term whose grants were taken.
     raft_term: int
 
     def wants_ping(self, now: float) -> bool:
@@ -106,6 +108,12 @@
         """Start the task."""
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def ping_soon(self) -> None:
+        """Send the next ping now if the holder of shares needs an answer."""
+        now = asyncio.get_running_loop().time()
+        if self._holder is not None and self._holder.wants_ping(now):
+            self._wake.set()
+
     async def drain(self) -> None:
         """Announce draining; return when control has it or after 3 s."""
         await self._announce("draining", ("draining", "left"))
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -119,9 +119,8 @@
             "incarnation": session.incarnation,
             "sequence": ping.sequence,
             "applied": ping.applied_revision,
+            "raft_term": ping.raft_term,
         }
-        if ping.raft_term:
-            packed["raft_term"] = ping.raft_term
         if ping.demands:
             packed["demands"] = [dataclasses.astuple(item) for item in ping.demands]
         if ping.shares:
