Measure the watch with holders of shares

Cause: the bench left out demands and grants. Change: watchers of the bench hold shares of eight client accounts.

--- a/toucanfold/watchbench.py
+++ b/toucanfold/watchbench.py
@@ -24,13 +24,16 @@
 
 from absl import flags
 
-from toucanfold import adminclient, cmdline, link, messages, watch
+from toucanfold import adminclient, cmdline, limits, link, messages, watch
 
 FLAGS = flags.FlagValues()
 flags.DEFINE_integer("watchers", 24, "Number of watchers.", flag_values=FLAGS)
 flags.DEFINE_integer("members", 3, "Number of control instances.", flag_values=FLAGS)
 flags.DEFINE_integer("processes", 2, "Processes of watchers.", flag_values=FLAGS)
 flags.DEFINE_integer("changes", 20, "Number of changes.", flag_values=FLAGS)
+flags.DEFINE_integer(
+    "accounts", 8, "Client accounts, of which watchers hold shares.", flag_values=FLAGS
+)
 flags.DEFINE_float("quiet_s", 10.0, "Time without changes (s).", flag_values=FLAGS)
 TEXT = "Measures the watch on loopback."
 
@@ -120,7 +123,7 @@
     announcement = messages.Announcement(
         name, incarnation, "s", "r1", "d1", "127.0.0.1:1"
     )
-    return watch.Watch(identity, addresses, announcement)
+    return watch.Watch(identity, addresses, announcement, limits.Holder())
 
 
 async def _watch_all(
@@ -225,17 +228,29 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
+def put_accounts(client: adminclient.Client, count: int) -> None:
+    """Create client accounts."""
+    for number in range(count):
+        item = {"name": f"a{number}", "rate": 1000.0, "burst": 4000.0}
+        fields = {"expected_revision": 0, "item": item}
+        client.change("PUT", f"/v1/accounts/a{number}", fields).unwrap()
+
+
+def put_profile(client: adminclient.Client, name: str) -> int:
+    """Create a profile and return the revision."""
+    fields = {"expected_revision": 0, "item": {"name": name}}
+    answer = client.change("PUT", f"/v1/profiles/{name}", fields)
+    return answer.unwrap()["revision"]
+
+
 def measure_changes(
     client: adminclient.Client, group: Group, changes: int
 ) -> dict[str, float]:
     """Time changes until all watchers applied them and until control knows it (s)."""
     applied, reported, accepted = [], [], []
     for number in range(changes):
-        path = f"/v1/accounts/a{number}"
-        item = {"name": f"a{number}", "rate": 10.0, "burst": 10.0}
         started_at = time.monotonic()
-        answer = client.change("PUT", path, {"expected_revision": 0, "item": item})
-        revision = answer.unwrap()["revision"]
+        revision = put_profile(client, f"p{number}")
         accepted.append(time.monotonic() - started_at)
         wait = client.read(f"/v1/revisions/{revision}?wait_ms=10000").unwrap()
         assert wait["in_force"], wait
@@ -273,12 +288,18 @@
         "bytes_per_s_and_watcher": rate("bytes"),
         "core_share_per_watcher": rate("cpu_s"),
         "core_share_of_busiest_control": max(spent) / seconds,
+        "core_share_of_idlest_control": min(spent) / seconds,
         "resident_mb_per_process": max(item["resident_mb"] for item in after),
     }
 
 
 def run(
-    watchers: int, members: int, processes: int, changes: int, quiet_s: float
+    watchers: int,
+    members: int,
+    processes: int,
+    accounts: int,
+    changes: int,
+    quiet_s: float,
 ) -> Any:
     """Run the whole measurement and return its figures."""
     with tempfile.TemporaryDirectory() as name:
@@ -291,6 +312,7 @@
             group = Group(watchers, processes, addresses)
             try:
                 _until(lambda: all(group.ask("fresh")))
+                put_accounts(client, accounts)
                 time.sleep(SETTLE_S)
                 return {
                     "watchers": watchers,
@@ -306,7 +328,12 @@
     """Print the figures as JSON."""
     cmdline.parse(FLAGS, "watchbench", arguments, TEXT)
     figures = run(
-        FLAGS.watchers, FLAGS.members, FLAGS.processes, FLAGS.changes, FLAGS.quiet_s
+        FLAGS.watchers,
+        FLAGS.members,
+        FLAGS.processes,
+        FLAGS.accounts,
+        FLAGS.changes,
+        FLAGS.quiet_s,
     )
     rounded = {key: round(value, 6) for key, value in figures.items()}
     print(json.dumps(rounded, indent=2))
