Take ports outside the range of outgoing connections

Cause: a port that was free when it was chosen could be taken by an outgoing connection, or by another fleet, before its listener started. Change: each process walks a range of its own below the system's range.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Coroutine
@@ -11,7 +10,7 @@
 import hypothesis
 from returns import result
 
-from toucanfold import config, exceptions, kernel, link, members, messages, watch
+from toucanfold import config, exceptions, fleet, kernel, link, members, messages, watch
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=60, print_blob=True
@@ -26,9 +25,7 @@
 
 def free_address() -> str:
     """Return a loopback address with a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return fleet.free_addresses(1)[0]
 
 
 class FakeReplica:
--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import configparser
 import ctypes
+import itertools
 import json
 import os
 import pathlib
@@ -22,8 +23,17 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
+FIRST_PORT, LAST_PORT = 10_000, 32_000
 PR_SET_PDEATHSIG = 1
 
+# Each process walks the range from its own start, so that two fleets which start at
+# the same time seldom choose the same port.
+_ports = itertools.cycle(
+    itertools.chain(
+        range(FIRST_PORT + os.getpid() * 199 % (LAST_PORT - FIRST_PORT), LAST_PORT),
+        range(FIRST_PORT, LAST_PORT),
+    )
+)
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -33,16 +43,22 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses with ports that are free now."""
-    probes = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        probes.append(probe)
-    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
-    for probe in probes:
-        probe.close()
-    return addresses
+    """Return distinct loopback addresses with ports that are free now.
+
+    The ports lie below the range that the system gives to outgoing connections, so
+    that none of those takes a port before its listener starts.
+    """
+    free = filter(_is_free, _ports)
+    return [f"127.0.0.1:{port}" for port in itertools.islice(free, count)]
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class Process:
