Reserve the ports of a fleet until it ends

Cause: with ports below the outgoing range, two fleets that start at the same time still chose the same port now and then. Change: chosen ports stay bound, with reuse allowed for their listeners.

--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import configparser
 import ctypes
-import itertools
 import json
 import os
 import pathlib
@@ -26,14 +25,9 @@
 FIRST_PORT, LAST_PORT = 10_000, 32_000
 PR_SET_PDEATHSIG = 1
 
-# Each process walks the range from its own start, so that two fleets which start at
-# the same time seldom choose the same port.
-_ports = itertools.cycle(
-    itertools.chain(
-        range(FIRST_PORT + os.getpid() * 199 % (LAST_PORT - FIRST_PORT), LAST_PORT),
-        range(FIRST_PORT, LAST_PORT),
-    )
-)
+# Bound but not listening: other processes find these ports taken, while the process
+# that an address is for can still listen on it, as both allow reuse.
+_reserved: list[socket.socket] = []
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -43,21 +37,28 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses with ports that are free now.
+    """Return distinct loopback addresses that this process keeps reserved.
 
     The ports lie below the range that the system gives to outgoing connections, so
     that none of those takes a port before its listener starts.
     """
-    free = filter(_is_free, _ports)
-    return [f"127.0.0.1:{port}" for port in itertools.islice(free, count)]
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    found: list[str] = []
+    while len(found) < count:
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        if _reserve(port):
+            found.append(f"127.0.0.1:{port}")
+    return found
+
+
+def _reserve(port: int) -> bool:
+    probe = socket.socket()
+    try:
+        probe.bind(("127.0.0.1", port))
+    except OSError:
+        probe.close()
+        return False
+    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _reserved.append(probe)
     return True
 
 
