--- a/toucanfold/slots.py
+++ b/toucanfold/slots.py
@@ -18,11 +18,12 @@
 class _Service:
     """The targets of a service and how many slots each one owns and backs up."""
 
-    __slots__ = ("by_name", "owned", "service", "up", "weight")
+    __slots__ = ("_best", "by_name", "owned", "service", "up", "weight")
 
-    def __init__(self, service: str, state: model.FleetState):
+    def __init__(self, service: str, targets: list[model.Target]):
         self.service = service
-        self.by_name = {item.name: item for item in state.targets_of(service)}
+        self.by_name = {item.name: item for item in targets}
+        self._best: dict[str, int] = {}
         self.up = [item for item in self.by_name.values() if item.state == "up"]
         self.owned: collections.Counter[str] = collections.Counter()
         self.weight: collections.Counter[str] = collections.Counter()
@@ -57,6 +58,15 @@
             return False
         return target.incarnation != incarnation or target.state == "left"
 
+    def best_distance(self, owner: model.Target) -> int:
+        """Return how near a place for a copy can be to an owner."""
+        found = self._best.get(owner.name)
+        if found is None:
+            others = (item for item in self.up if item.name != owner.name)
+            found = min((_distance(owner, item) for item in others), default=0)
+            self._best[owner.name] = found
+        return found
+
     def new_owner(self, number: int) -> model.Target | None:
         """Return the target with the fewest slots."""
         return min(
@@ -97,8 +107,13 @@
     without the report would let a pair that was cut off run calls as well.
     """
     changes: list[model.Slot] = []
+    targets: dict[str, list[model.Target]] = {}
+    for name in sorted(state.targets):
+        target = state.targets[name]
+        targets.setdefault(target.service, []).append(target)
     for service in sorted(_services(state)):
-        changes += _plan_service(service, state, complete)
+        view = _Service(service, targets.get(service, []))
+        changes += _plan_service(view, state, complete)
     return changes
 
 
@@ -113,11 +128,11 @@
 
 
 def _plan_service(
-    service: str, state: model.FleetState, complete: Collection[Mark]
+    targets: _Service, state: model.FleetState, complete: Collection[Mark]
 ) -> list[model.Slot]:
-    targets = _Service(service, state)
     slots = [
-        state.slots.get((service, number)) for number in range(model.SLOTS_PER_SERVICE)
+        state.slots.get((targets.service, number))
+        for number in range(model.SLOTS_PER_SERVICE)
     ]
     for slot in slots:
         if slot is not None:
@@ -278,17 +293,18 @@
 def _move_backup(
     targets: _Service, slot: model.Slot, most_roles: int
 ) -> model.Slot | None:
+    owner = targets.by_name.get(slot.owner)
+    present = targets.by_name.get(slot.backup)
+    if owner is None or present is None:
+        return None
+    is_far = _distance(owner, present) > targets.best_distance(owner)
+    is_loaded = targets.weight[slot.backup] > most_roles
+    if not is_far and not is_loaded:
+        return None
     better = targets.new_backup(slot.number, slot.owner)
     if better is None or better.name == slot.backup:
         return None
-    present = targets.by_name.get(slot.backup)
-    owner = targets.by_name.get(slot.owner)
-    if present is None:
-        return None
-    gain = _distance(owner, present) - _distance(owner, better)
-    is_relief = targets.weight[slot.backup] > most_roles
-    has_place = targets.weight[better.name] < most_roles - 1
-    if gain > 0 or (gain == 0 and is_relief and has_place):
+    if is_far or targets.weight[better.name] < most_roles - 1:
         return _move(slot, better)
     return None
 
