--- a/toucanfold/adminclient.py
+++ b/toucanfold/adminclient.py
@@ -40,8 +40,8 @@
     path: str,
     fields: dict[str, Any] | None = None,
     credential: str = "",
-    tls: ssl.SSLContext | None = None,
     timeout_s: float = TIMEOUT_S,
+    tls: ssl.SSLContext | None = None,
 ) -> tuple[int, Any]:
     """Send one request; return status and JSON value, raise OSError without one."""
     body = b"" if fields is None else json.dumps(fields).encode()
@@ -52,8 +52,7 @@
     connection = h11.Connection(h11.CLIENT)
     host, port = link.split_address(address)
     with contextlib.ExitStack() as stack:
-        connecting = socket.create_connection((host, port), timeout_s)
-        opened = stack.enter_context(connecting)
+        opened = stack.enter_context(socket.create_connection((host, port), timeout_s))
         if tls is not None:
             secured = tls.wrap_socket(opened, server_hostname=host)
             opened = stack.enter_context(secured)
@@ -116,7 +115,12 @@
                 time.sleep(PAUSE_S)
             try:
                 status, value = fetch(
-                    address, method, path, fields, self._credential, self._tls
+                    address,
+                    method,
+                    path,
+                    fields,
+                    self._credential,
+                    tls=self._tls,
                 )
             except OSError as error:
                 problem = exceptions.LinkError(
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -4,7 +4,7 @@
 import collections
 import dataclasses
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any, Protocol
 
 from absl import logging
@@ -91,10 +91,24 @@
         """Renew a daemon's shares and return its grants."""
 
     def on_ended(self, now: float, daemon: str, incarnation: int) -> None:
-        """Take back the shares of an incarnation that has ended."""
+        """Take back the shares of an incarnation that has ended.
 
+        Called before its end is proposed: the next leader does not wait for it, so it
+        must get no shares while the change is committed.
+        """
+
+
+# Service, number and epoch of a slot.
+Mark = tuple[str, int, int]
+
+
+class Planner(Protocol):
+    """What the leader needs of slots.plan."""
 
-Planner = Callable[[float, model.FleetState], list[model.Slot]]
+    def __call__(
+        self, now: float, state: model.FleetState, complete: Collection[Mark]
+    ) -> list[model.Slot]:
+        """Return the slots to assign next."""
 
 
 class Leadership:
@@ -118,8 +132,9 @@
         )
         self._proposing: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._present: dict[str, int] = {}
         self._planned_revision = -1
+        # Whole copies by daemon and incarnation, as reported in this lead.
+        self._complete: dict[tuple[str, int], frozenset[Mark]] = {}
         self._handlers: dict[str, Callable[[Payload], Awaitable[Reply]]] = {
             "command": self._on_command,
             "pings": self._on_pings,
@@ -174,6 +189,8 @@
             return decoded
         command = decoded.unwrap()
         command.at = time.time()
+        if isinstance(command, commands.ConfirmEnded):
+            self._end(command.name, command.incarnation)
         proposed = await self._replica.propose(commands.encode(command))
         return proposed.map(lambda pair: {"outcome": pair[1], "index": pair[0]})
 
@@ -238,6 +255,7 @@
                 continue
             if ping.get("announcement"):
                 self._announce(ping["announcement"])
+            self._note_copies(ping)
             shares = self._grant(now, ping)
             grants.append([dataclasses.astuple(share) for share in shares])
         term = self._replica.term
@@ -263,20 +281,46 @@
             [messages.Share(*fields) for fields in ping.get("shares", ())],
         )
 
+    def _note_copies(self, ping: Payload) -> None:
+        """Keep the marks of a daemon; a change of them starts another plan."""
+        target = self._store.state.targets.get(ping["daemon"])
+        if target is None or target.incarnation != ping["incarnation"]:
+            return
+        key = (target.name, target.incarnation)
+        marks = frozenset(
+            (target.service, number, epoch)
+            for number, epoch in ping.get("complete", ())
+        )
+        if marks != self._complete.get(key, frozenset()):
+            self._complete[key] = marks
+            self._planned_revision = -1
+
+    def _complete_marks(self) -> set[Mark]:
+        """Return the marks of the incarnations that the directory holds."""
+        present = {
+            (target.name, target.incarnation)
+            for target in self._store.state.targets.values()
+        }
+        kept = self._complete.items()
+        self._complete = {key: marks for key, marks in kept if key in present}
+        return set().union(*self._complete.values())
+
     def _announce(self, target: Payload) -> None:
         command = commands.AnnounceTarget(target=target)
         planned = store.plan(self._store.state, command)
         if isinstance(planned, result.Failure) or planned.unwrap() == store.NOTHING:
             return
+        present = self._store.state.targets.get(target["name"])
+        has_ended = target["state"] == "left"
+        if present and (has_ended or present.incarnation != target["incarnation"]):
+            self._end(present.name, present.incarnation)
         self._propose(f"announce {target['name']}", command)
 
     def _mark_lost(self) -> None:
         now = asyncio.get_running_loop().time()
         for target in self._liveness.lost(now, self._store.state):
             logging.warning("target %s is lost: no ping", target.name)
-            if self._grantor is not None:
-                # It must get no share while the loss is committed.
-                self._grantor.on_ended(now, target.name, target.incarnation)
+            self._end(target.name, target.incarnation)
             command = commands.SetTargetState(
                 name=target.name, incarnation=target.incarnation, state="lost"
             )
@@ -289,7 +333,7 @@
             return
         now = asyncio.get_running_loop().time()
         revision = self._store.revision
-        slots = self._planner(now, self._store.state)
+        slots = self._planner(now, self._store.state, self._complete_marks())
         if not slots:
             self._planned_revision = revision
             return
@@ -337,6 +381,7 @@
     def _start_lead(self, term: int) -> None:
         self._led_term = term
         self._planned_revision = -1
+        self._complete = {}
         now = asyncio.get_running_loop().time()
         logging.info("leading control in term %d", term)
         self._liveness.on_lead(now)
@@ -349,18 +394,12 @@
         self._applied_at[self._store.revision] = now
         while len(self._applied_at) > KEPT_REVISIONS:
             self._applied_at.popitem(last=False)
-        if self._grantor is None or self._led_term == -1:
-            return
-        present = {
-            target.name: target.incarnation
-            for target in self._store.state.targets.values()
-            if target.state != "left"
-        }
-        for name, incarnation in self._present.items():
-            if present.get(name) != incarnation:
-                self._grantor.on_ended(now, name, incarnation)
-        self._present = present
-        self._grantor.on_state(now, self._store.state)
+        if self._grantor is not None and self._led_term != -1:
+            self._grantor.on_state(now, self._store.state)
+
+    def _end(self, name: str, incarnation: int) -> None:
+        if self._grantor is not None:
+            self._grantor.on_ended(time.monotonic(), name, incarnation)
 
 
 def _not_leader(leader: str | None) -> result.Failure:
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -165,6 +165,11 @@
   state @6 :Text;
 }
 
+struct SlotMark {
+  slot @0 :UInt16;
+  epoch @1 :UInt64;
+}
+
 struct WatchPing {
   sequence @0 :UInt64;
   appliedRevision @1 :UInt64;
@@ -175,12 +180,6 @@
   complete @6 :List(SlotMark);
 }
 
-struct SlotMark {
-  service @0 :Text;
-  slot @1 :UInt16;
-  epoch @2 :UInt64;
-}
-
 struct WatchPong {
   sequence @0 :UInt64;
   confirmed @1 :Bool;
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -257,9 +257,8 @@
 
 @dataclasses.dataclass(slots=True)
 class SlotMark(Message):
-    """A slot whose backup, the sender, holds a whole copy at this epoch."""
+    """A slot of the sender's service at an epoch."""
 
-    service: str = ""
     slot: int = 0
     epoch: int = 0
 
@@ -281,6 +280,7 @@
     demands: list[Demand] = dataclasses.field(default_factory=list)
     shares: list[Share] = dataclasses.field(default_factory=list)
     raft_term: int = 0
+    # Slots of which the sender, as backup, holds a whole copy of the records.
     complete: list[SlotMark] = dataclasses.field(default_factory=list)
 
 
