--- a/toucanfold/egress.py
+++ b/toucanfold/egress.py
@@ -12,6 +12,7 @@
     metrics,
     model,
     parts,
+    pressure,
     replies,
 )
 
@@ -41,13 +42,15 @@
         forwarder: linkcalls.CallRunner,
         measured: metrics.Metrics,
         max_depth: int,
+        learnt: pressure.LearntLevels | None = None,
     ):
         self.running = 0
-        self._source = source
+        self._lookup = parts.Lookup(source, b"")
         self._tokens = tokens
         self._forwarder = forwarder
         self._metrics = measured
         self._max_depth = max_depth
+        self._learnt = learnt or pressure.LearntLevels()
         self._loop = asyncio.get_running_loop()
         self._children: dict[str, set[asyncio.Task[Any]]] = {}
 
@@ -78,13 +81,16 @@
         reserved = token.reserve_attempts()
         token.child_started(self._loop.time())
         self.running += 1
-        spent, level = reserved, calls.MAX_LEVEL
+        spent = reserved
         try:
             answer = await self._run(request, child, reserved)
-            spent, level = answer.attempts_spent, answer.level
+            spent = answer.attempts_spent
+            self._learnt.on_answer(
+                self._loop.time(), token.call.pressure_key, answer.level
+            )
         finally:
             self.running -= 1
-            token.child_ended(self._loop.time(), reserved, spent, level)
+            token.child_ended(self._loop.time(), reserved, spent)
         return replies.response(answer, root_id)
 
     def on_abandoned(self, token: calls.CallToken) -> None:
@@ -117,18 +123,16 @@
         if headers.line_has_key(request.method, request.path):
             return _bad("the request line holds a key")
         service = entry.service_of(request.headers)
-        state = self._source.state
         path = request.path.partition("?")[0]
-        route = state.route_for(service, request.method, path)
-        profile = state.profiles.get(route.profile) if route is not None else None
-        if route is None or profile is None:
+        found = self._lookup.route(service, request.method, path)
+        if found is None:
             return calls.Refusal(
                 calls.Kind.NO_ROUTE, message=f"no route for service {service!r}"
             )
         timeout_ms = entry.read_timeout_ms(request.headers)
         if timeout_ms is None:
             return _bad("Toucanfold-Timeout-Ms must be a positive number")
-        child = Child(token, route, profile)
+        child = Child(token, *found)
         child.timeout_ms = timeout_ms
         key = headers.find(request.headers, b"idempotency-key") or b""
         if len(key) > entry.MAX_IDEMPOTENCY_KEY_BYTES or headers.has_key(key):
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -12,6 +12,7 @@
     metrics,
     model,
     parts,
+    pressure,
     replies,
 )
 
@@ -57,18 +58,18 @@
         forwarder: linkcalls.CallRunner,
         measured: metrics.Metrics,
         rng: random.Random,
-        levels: parts.Levels | None = None,
+        levels: pressure.LearntLevels | None = None,
         rate: parts.Rate | None = None,
         serve_open_when_stale: bool = False,
     ):
         self.running = 0
         self.stopping = False
         self._source = source
-        self._secret = fleet_secret
+        self._lookup = parts.Lookup(source, fleet_secret)
         self._forwarder = forwarder
         self._metrics = measured
         self._rng = rng
-        self._levels = levels or parts.OpenLevels()
+        self._levels = levels or pressure.LearntLevels()
         self._rate = rate or parts.NoRate()
         self._serve_open_when_stale = serve_open_when_stale
         self._loop = asyncio.get_running_loop()
@@ -110,14 +111,11 @@
         if headers.line_has_key(request.method, request.path):
             return _bad("the request line holds a key; send it as a header")
         service = service_of(request.headers)
-        state = self._source.state
         path = request.path.partition("?")[0]
-        route = state.route_for(service, request.method, path)
-        if route is None:
-            return self._without_route(service)
-        profile = state.profiles.get(route.profile)
-        if profile is None:
+        found = self._lookup.route(service, request.method, path)
+        if found is None:
             return self._without_route(service)
+        route, profile = found
         if not self._is_served(route):
             return calls.Refusal(
                 calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
@@ -153,7 +151,7 @@
             return _bad("the request holds different keys")
         if found:
             text = found.pop().decode("latin-1")
-            admitted.account = self._source.state.account_of(text, self._secret)
+            admitted.account = self._lookup.account(text)
         if admitted.account is None and not admitted.route.open:
             message = "the key is not valid" if shaped or found else "no key was sent"
             return calls.Refusal(calls.Kind.KEY_REFUSED, message=message)
@@ -163,9 +161,9 @@
         self, request: httpserver.Request, admitted: Admitted
     ) -> calls.Answer:
         call = _to_call(request, admitted)
-        route = admitted.route.name
+        key = call.pressure_key
         now = self._loop.time()
-        if not self._levels.admits(now, route, call.level, self._rng):
+        if not self._levels.admits(now, key, call.level, self._rng):
             bodies.drop(call.body_stream)
             return calls.refuse(
                 calls.Kind.OVERLOADED, "a service of this route is overloaded"
@@ -180,7 +178,7 @@
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
-        self._levels.on_answer(self._loop.time(), route, answer.level)
+        self._levels.on_answer(self._loop.time(), key, answer.level)
         return answer
 
     def _observe(
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -126,6 +126,8 @@
   headers @8 :Data;
   body @9 :Data;
   ageMs @10 :UInt64;
+  origin @11 :UInt64;
+  id @12 :UInt64;
 }
 
 struct RecordSync {
@@ -134,6 +136,8 @@
   epoch @2 :UInt64;
   records @3 :List(Record);
   last @4 :Bool;
+  id @5 :UInt64;
+  index @6 :UInt32;
 }
 
 struct Demand {
@@ -161,6 +165,11 @@
   state @6 :Text;
 }
 
+struct SlotMark {
+  slot @0 :UInt16;
+  epoch @1 :UInt64;
+}
+
 struct WatchPing {
   sequence @0 :UInt64;
   appliedRevision @1 :UInt64;
@@ -168,6 +177,7 @@
   demands @3 :List(Demand);
   shares @4 :List(Share);
   raftTerm @5 :UInt64;
+  complete @6 :List(SlotMark);
 }
 
 struct WatchPong {
