Use the admission plug-ins and learnt levels in dispatch

Cause: the baselines of the call path and the plug-ins of module admission had the same names and other parameters. Change: module queueing is gone; dispatch takes limiter and queue from limiter and admission with the profile's bounds. Levels learnt from nested calls are kept per route and account apart from those an entry learns, so that a level is not learnt from itself. Tests for dispatch against a plain model, TLS and header fields.

--- a/tests/fleetparts.py
+++ b/tests/fleetparts.py
@@ -30,7 +30,7 @@
     return state
 
 
-def make_settings(folder, name, service, target_address, **options):
+def make_settings(folder, name, service, target_address, tls=None, **options):
     """Write and read a settings file with free ports."""
     secret = pathlib.Path(folder, "secret")
     secret.write_bytes(SECRET)
@@ -50,6 +50,7 @@
         **options,
     }
     lines = ["[daemon]", *(f"{key} = {value}" for key, value in values.items())]
+    lines += ["[tls]", *(f"{key} = {value}" for key, value in (tls or {}).items())]
     path = pathlib.Path(folder, f"{name}.ini")
     path.write_text("\n".join(lines))
     return config.read(str(path), "daemon").unwrap()
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,218 @@
+import asyncio
+
+import fleetparts
+import helpers
+import hypothesis
+from hypothesis import strategies
+
+from toucanfold import (
+    admission,
+    calls,
+    dispatch,
+    httpclient,
+    httpserver,
+    limiter,
+    metrics,
+)
+
+
+def make_call(deadline_s=5.0, **fields):
+    now = asyncio.get_running_loop().time()
+    values = {
+        "root_id": "r",
+        "service": "shop",
+        "method": "GET",
+        "path": "/",
+        "headers": [],
+        "body": b"",
+        "account": "acme",
+        "rank": 2,
+        "idempotent": True,
+        "deadline": now + deadline_s,
+        "root_started_at": now,
+        **fields,
+    }
+    return calls.Call(**values)
+
+
+class Bench:
+    """A dispatcher with a target whose calls end when the test says so."""
+
+    def __init__(self, limit=1, length=100):
+        self.running = {}
+        self.order = []
+        self.most = 0
+        self.target = fleetparts.Recorder(self._answer)
+        self.limit, self.length = limit, length
+
+    async def start(self, fleet):
+        address = await fleet.target(self.target)
+        self.dispatcher = dispatch.Dispatcher(
+            httpclient.Pool(address, 50),
+            calls.TokenTable(),
+            metrics.Metrics(),
+            limiter.Fixed(self.limit),
+            admission.Fifo(length=self.length),
+        )
+        self.dispatcher.start()
+        fleet.stack.callback(self.dispatcher.stop)
+        return self.dispatcher
+
+    async def _answer(self, request):
+        self.order.append(request.path)
+        self.running[request.path] = asyncio.Event()
+        self.most = max(self.most, len(self.running))
+        try:
+            await self.running[request.path].wait()
+        finally:
+            del self.running[request.path]
+        return httpserver.Response(200, [], request.path.encode())
+
+    async def until_running(self, path):
+        while path not in self.running:
+            await asyncio.sleep(0.005)
+
+
+def with_bench(test, **options):
+    """Run an async test with a dispatcher."""
+
+    async def scenario():
+        async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+            bench = Bench(**options)
+            await bench.start(fleet)
+            await test(bench)
+            await asyncio.sleep(0.02)
+            assert bench.dispatcher.in_flight == len(bench.running)
+            assert bench.dispatcher.queued == 0
+
+    helpers.run(scenario())
+
+
+def start(bench, number, **options):
+    call = make_call(path=f"/{number}", **options)
+    return asyncio.ensure_future(bench.dispatcher.run(call))
+
+
+def test_calls_wait_in_order_for_the_limit():
+    async def test(bench):
+        tasks = [start(bench, number) for number in range(4)]
+        for number in range(4):
+            await bench.until_running(f"/{number}")
+            assert bench.dispatcher.in_flight == 1
+            bench.running[f"/{number}"].set()
+            assert (await tasks[number]).body == f"/{number}".encode()
+        assert bench.most == 1
+
+    with_bench(test)
+
+
+def test_full_queue_refuses_as_not_run():
+    async def test(bench):
+        tasks = [start(bench, number) for number in range(3)]
+        refused = await tasks[2]
+        assert refused.refusal.kind == "overloaded"
+        assert refused.outcome is calls.Outcome.NOT_RUN
+        for number in (0, 1):
+            await bench.until_running(f"/{number}")
+            bench.running[f"/{number}"].set()
+        await asyncio.gather(*tasks)
+        assert bench.order == ["/0", "/1"]
+
+    with_bench(test, length=1)
+
+
+def test_deadline_in_the_queue_is_not_run():
+    """Guards against a call that is dispatched after its deadline."""
+
+    async def test(bench):
+        first = start(bench, 0)
+        late = await start(bench, 1, deadline_s=0.05)
+        assert late.refusal.kind == "deadline_exceeded"
+        assert late.outcome is calls.Outcome.NOT_RUN
+        await bench.until_running("/0")
+        bench.running["/0"].set()
+        await first
+        assert bench.order == ["/0"]
+
+    with_bench(test)
+
+
+def test_cancelled_calls_give_their_place_back():
+    """Guards against places that leak when callers leave."""
+
+    async def test(bench):
+        tasks = [start(bench, number) for number in range(3)]
+        await bench.until_running("/0")
+        tasks[1].cancel()
+        tasks[0].cancel()
+        await bench.until_running("/2")
+        assert bench.order == ["/0", "/2"]
+        assert bench.target.cancelled == 1
+        bench.running["/2"].set()
+        assert (await tasks[2]).status == 200
+
+    with_bench(test)
+
+
+def test_new_plugins_keep_the_waiting_calls():
+    async def test(bench):
+        tasks = [start(bench, number) for number in range(3)]
+        await bench.until_running("/0")
+        bench.dispatcher.replace(limiter.Fixed(3), admission.Fifo())
+        for number in range(3):
+            await bench.until_running(f"/{number}")
+        for event in bench.running.values():
+            event.set()
+        answers = await asyncio.gather(*tasks)
+        assert [answer.body for answer in answers] == [b"/0", b"/1", b"/2"]
+
+    with_bench(test)
+
+
+ACTIONS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("start", "end", "cancel")), strategies.integers(0, 9)
+    ),
+    max_size=25,
+)
+
+
+@hypothesis.settings(max_examples=15)
+@hypothesis.given(ACTIONS, strategies.integers(1, 3))
+def test_places_and_order_match_a_plain_model(actions, limit):
+    """Guards against lost or doubled places in any order of ends and cancels."""
+
+    async def test(bench):
+        tasks, running, waiting = {}, [], []
+        for kind, choice in actions:
+            if kind == "start":
+                number = len(tasks)
+                tasks[number] = start(bench, number)
+                waiting.append(number)
+                await asyncio.sleep(0)
+            else:
+                pool = running if kind == "end" else running + waiting
+                if not pool:
+                    continue
+                number = pool[choice % len(pool)]
+                (running if number in running else waiting).remove(number)
+                if kind == "end":
+                    bench.running[f"/{number}"].set()
+                else:
+                    tasks[number].cancel()
+                await asyncio.wait([tasks[number]])
+            while waiting and len(running) < limit:
+                running.append(waiting.pop(0))
+            for number in running:
+                await bench.until_running(f"/{number}")
+            assert bench.dispatcher.in_flight == len(running)
+            assert bench.dispatcher.queued == len(waiting)
+            assert len(bench.dispatcher.tokens) == len(running)
+        for task in tasks.values():
+            task.cancel()
+        await asyncio.gather(*tasks.values(), return_exceptions=True)
+        assert bench.dispatcher.in_flight == 0
+        while bench.running:
+            await asyncio.sleep(0.005)
+
+    with_bench(test, limit=limit)
--- /dev/null
+++ b/tests/test_headers.py
@@ -0,0 +1,60 @@
+import fleetparts
+import hypothesis
+from hypothesis import strategies
+
+from toucanfold import headers, wire
+
+TOKENS = strategies.text("abcXYZ-", min_size=1, max_size=8).map(str.encode)
+PIECES = strategies.sampled_from(
+    [
+        fleetparts.KEY,
+        fleetparts.KEY.upper(),
+        fleetparts.OTHER_KEY,
+        "tfk_",
+        "x",
+        " ",
+        "=",
+        "Bearer ",
+        "%",
+    ]
+)
+VALUES = strategies.lists(PIECES, max_size=6).map(lambda parts: "".join(parts).encode())
+FIELDS = strategies.lists(
+    strategies.tuples(
+        strategies.one_of(
+            TOKENS.map(bytes.lower),
+            strategies.sampled_from(
+                [b"authorization", b"toucanfold-key", b"connection", b"cookie"]
+            ),
+            strategies.just(fleetparts.KEY.encode()),
+        ),
+        VALUES,
+    ),
+    max_size=8,
+)
+
+
+@hypothesis.given(FIELDS)
+def test_no_field_for_a_target_holds_a_key(fields):
+    """Guards against a key in a field that the target sees."""
+    kept = headers.for_target(fields, keep_length=False)
+    head = wire.request("GET", "/", kept, b"").lower()
+    assert fleetparts.KEY.encode() not in head
+    assert fleetparts.OTHER_KEY.encode() not in head
+    assert all(item in fields for item in kept)
+    clean = [
+        item
+        for item in fields
+        if b"tfk_" not in (item[0] + item[1]).lower()
+        and item[0] not in headers.NEVER_TO_TARGET
+        and item[0] not in headers.named_by_connection(fields)
+    ]
+    assert [item for item in kept if item in clean] == clean
+
+
+@hypothesis.given(FIELDS)
+def test_keys_are_found_wherever_they_stand(fields):
+    text = b"\n".join(name + b"\n" + value for name, value in fields).lower()
+    found = {key.lower() for key in headers.keys_in(fields)}
+    for key in (fleetparts.KEY, fleetparts.OTHER_KEY):
+        assert (key.encode() in found) == (key.encode() in text)
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -142,6 +142,11 @@
         """Level compared with thresholds; lower is more important."""
         return self.rank * PRIORITY_LEVELS + self.priority
 
+    @property
+    def pressure_key(self) -> str:
+        """Key of the levels learnt from answers: the route and the account."""
+        return f"{self.route}\0{self.account}"
+
     @property
     def is_replayable(self) -> bool:
         """Whether the whole body is at hand for another attempt."""
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from toucanfold import (
+    admission,
     calls,
     cmdline,
     config,
@@ -22,6 +23,7 @@
     forward,
     httpclient,
     httpserver,
+    limiter,
     limits,
     link,
     linkcalls,
@@ -33,7 +35,6 @@
     peers,
     plugins,
     pressure,
-    queueing,
     retries,
     router,
     spending,
@@ -93,6 +94,8 @@
         )
         self.service: str = self._get("service")
         self.tokens = calls.TokenTable()
+        # Levels of the services that this daemon's target calls.
+        self.learnt = pressure.LearntLevels()
         self.dispatcher = self._make_dispatcher()
         self.incoming = _IncomingCalls(self.dispatcher)
         self.peers = peers.Peers(
@@ -112,7 +115,12 @@
         self.forwarder = self._make_forwarder()
         self.entry = self._make_entry()
         self.egress = egress.Egress(
-            source, self.tokens, self.forwarder, self.metrics, self._get("max_depth")
+            source,
+            self.tokens,
+            self.forwarder,
+            self.metrics,
+            self._get("max_depth"),
+            self.learnt,
         )
         self.dispatcher.on_abandoned = self.egress.on_abandoned
         self.callers = httpserver.Server(self.entry, self._limits())
@@ -226,8 +234,9 @@
             pool,
             self.tokens,
             self.metrics,
-            queueing.FixedLimiter(),
-            queueing.FifoQueue(),
+            limiter.Fixed(),
+            admission.Fifo(),
+            self.learnt,
         )
 
     def _make_forwarder(self) -> forward.Forwarder:
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from toucanfold import (
+    admission,
     bodies,
     calls,
     exceptions,
@@ -13,8 +14,9 @@
     kernel,
     metrics,
     model,
-    queueing,
+    pressure,
 )
+from toucanfold import limiter as limiting
 
 WINDOW_S = 0.1
 # Weight of the newest sample in the mean time that a call runs.
@@ -43,8 +45,9 @@
         pool: httpclient.Pool,
         tokens: calls.TokenTable,
         measured: metrics.Metrics,
-        limiter: queueing.ConcurrencyLimiter,
-        queue: queueing.AdmissionQueue,
+        limiter: limiting.ConcurrencyLimiter,
+        queue: admission.AdmissionQueue,
+        learnt: pressure.LearntLevels | None = None,
     ):
         self.pool = pool
         self.tokens = tokens
@@ -54,10 +57,11 @@
         self.on_abandoned: Callable[[calls.CallToken], None] | None = None
         self._limiter = limiter
         self._queue = queue
+        self._learnt = learnt or pressure.LearntLevels()
         self._metrics = measured
         self._loop = asyncio.get_running_loop()
         self._ids = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[calls.Kind | None]] = {}
+        self._waiting: dict[int | str, asyncio.Future[calls.Kind | None]] = {}
         self._service_time_s = 0.0
         self._window: asyncio.TimerHandle | None = None
 
@@ -83,8 +87,8 @@
 
     def replace(
         self,
-        limiter: queueing.ConcurrencyLimiter,
-        queue: queueing.AdmissionQueue,
+        limiter: limiting.ConcurrencyLimiter,
+        queue: admission.AdmissionQueue,
     ) -> None:
         """Change the plug-ins; waiting calls move to the new queue in order."""
         now = self._loop.time()
@@ -101,7 +105,7 @@
         """Wait for a place, send the call to the target and return its answer."""
         now = self._loop.time()
         if call.deadline <= now:
-            return self._stamp(_too_late(), None)
+            return self._stamp(call, _too_late(), None)
         call_id = next(self._ids)
         granted = self._loop.create_future()
         self._waiting[call_id] = granted
@@ -120,7 +124,7 @@
         )
         if refusal is not None:
             self._metrics.count(f"refused.{refusal}")
-            return self._stamp(calls.refuse(refusal, "not dispatched"), None)
+            return self._stamp(call, calls.refuse(refusal, "not dispatched"), None)
         return await self._dispatch(call, started_at)
 
     async def _wait(
@@ -152,7 +156,7 @@
         self._waiting.pop(call_id, None)
         self._queue.remove(call_id)
 
-    def _refuse(self, refused: queueing.Refused) -> None:
+    def _refuse(self, refused: admission.Refused) -> None:
         for ticket, kind in refused:
             granted = self._waiting.pop(ticket.call_id, None)
             if granted is not None and not granted.done():
@@ -184,28 +188,28 @@
             running.timer = self._loop.call_at(call.deadline, self._on_late, running)
             answer, kind = await self._exchange(call, running)
         except BaseException:
-            self._end(running, queueing.FinishKind.CANCELLED)
+            self._end(running, limiting.FinishKind.CANCELLED)
             raise
         answer.target_seconds = self._loop.time() - started_at
         stream = answer.body_stream
         if isinstance(stream, bodies.BodyStream):
             stream.on_end(
                 lambda complete: self._end(
-                    running, kind if complete else queueing.FinishKind.CANCELLED
+                    running, kind if complete else limiting.FinishKind.CANCELLED
                 )
             )
         else:
             self._end(running, kind)
-        return self._stamp(answer, token)
+        return self._stamp(call, answer, token)
 
     async def _exchange(
         self, call: calls.Call, running: _Running
-    ) -> tuple[calls.Answer, queueing.FinishKind]:
+    ) -> tuple[calls.Answer, limiting.FinishKind]:
         acquired = await self._acquire(call)
         if isinstance(acquired, calls.Answer):
-            kind = queueing.FinishKind.SHED
+            kind = limiting.FinishKind.SHED
             if acquired.refusal and acquired.refusal.kind == "deadline_exceeded":
-                kind = queueing.FinishKind.TIMEOUT
+                kind = limiting.FinishKind.TIMEOUT
             return acquired, kind
         running.connection = acquired
         exchanged = await acquired.exchange(
@@ -236,7 +240,7 @@
 
     def _failed(
         self, call: calls.Call, error: exceptions.TargetError
-    ) -> tuple[calls.Answer, queueing.FinishKind]:
+    ) -> tuple[calls.Answer, limiting.FinishKind]:
         outcome = calls.Outcome.UNKNOWN if error.sent else calls.Outcome.NOT_RUN
         if error.answered:
             outcome = calls.Outcome.RAN
@@ -244,9 +248,9 @@
             late = calls.refuse(
                 calls.Kind.DEADLINE_EXCEEDED, "the target did not answer", outcome
             )
-            return late, queueing.FinishKind.TIMEOUT
+            return late, limiting.FinishKind.TIMEOUT
         failed = calls.refuse(calls.Kind.TARGET_FAILED, error.message, outcome)
-        return failed, queueing.FinishKind.FAILED
+        return failed, limiting.FinishKind.FAILED
 
     def _target_headers(
         self, call: calls.Call, token: calls.CallToken
@@ -275,7 +279,7 @@
         if running.connection is not None and not running.ended:
             running.connection.abort()
 
-    def _end(self, running: _Running, kind: queueing.FinishKind) -> None:
+    def _end(self, running: _Running, kind: limiting.FinishKind) -> None:
         if running.ended:
             return
         running.ended = True
@@ -284,21 +288,24 @@
             running.timer.cancel()
         self.in_flight -= 1
         own_time_s = running.token.own_seconds(running.started_at, now)
-        if kind == queueing.FinishKind.OK:
+        if kind == limiting.FinishKind.OK:
             took = now - running.started_at
             self._service_time_s += SERVICE_TIME_GAIN * (took - self._service_time_s)
         self._limiter.on_finish(now, own_time_s, self.in_flight, kind)
         self.tokens.end(running.token)
-        if kind not in (queueing.FinishKind.OK, queueing.FinishKind.SHED):
+        if kind not in (limiting.FinishKind.OK, limiting.FinishKind.SHED):
             self._metrics.count(f"target.{kind.name.lower()}")
             if self.on_abandoned is not None:
                 self.on_abandoned(running.token)
         self._pump(now)
 
     def _stamp(
-        self, answer: calls.Answer, token: calls.CallToken | None
+        self, call: calls.Call, answer: calls.Answer, token: calls.CallToken | None
     ) -> calls.Answer:
-        answer.level = self.level if token is None else min(self.level, token.level)
+        """Add what the caller's daemon learns from every answer."""
+        answer.level = self._learnt.combined(
+            self._loop.time(), call.pressure_key, self._queue.level_of(call.account)
+        )
         answer.attempts_spent = 0 if token is None else token.attempts_spent
         answer.limit = self.limit
         answer.in_flight = self.in_flight + len(self._queue)
@@ -312,8 +319,8 @@
         self._window = self._loop.call_at(now + WINDOW_S, self._on_window)
 
 
-def _ticket(call_id: int, call: calls.Call, now: float) -> queueing.Ticket:
-    return queueing.Ticket(
+def _ticket(call_id: int, call: calls.Call, now: float) -> admission.Ticket:
+    return admission.Ticket(
         call_id,
         call.account,
         call.weight,
@@ -332,14 +339,14 @@
 
 def _answered(
     answer: httpclient.TargetAnswer,
-) -> tuple[calls.Answer, queueing.FinishKind]:
+) -> tuple[calls.Answer, limiting.FinishKind]:
     if answer.status != 503:
         kept = headers.for_caller(answer.headers)
         return (
             calls.Answer(
                 answer.status, kept, answer.body, body_stream=answer.body_stream
             ),
-            queueing.FinishKind.OK,
+            limiting.FinishKind.OK,
         )
     if headers.find(answer.headers, b"toucanfold-not-run") == b"1":
         bodies.drop(answer.body_stream)
@@ -350,24 +357,24 @@
             "the target refused the call",
             retry_after_ms=retry_after_ms,
         )
-        return refused, queueing.FinishKind.SHED
+        return refused, limiting.FinishKind.SHED
     kept = headers.for_caller(answer.headers)
     passed = calls.Answer(503, kept, answer.body, body_stream=answer.body_stream)
-    return passed, queueing.FinishKind.SHED
+    return passed, limiting.FinishKind.SHED
 
 
 def create_plugins(
     profile: model.Profile,
-) -> tuple[queueing.ConcurrencyLimiter, queueing.AdmissionQueue]:
+) -> tuple[limiting.ConcurrencyLimiter, admission.AdmissionQueue]:
     """Create the limiter and the queue that a profile names, or the baselines."""
     limiter = kernel.create("limiter", profile.limiter)
     queue = kernel.create(
         "admission",
         profile.admission,
-        queue_ms=profile.queue_ms,
-        queue_length=profile.queue_length,
+        length=profile.queue_length,
+        time_s=profile.queue_ms / 1000,
     )
     return (
-        limiter.value_or(queueing.FixedLimiter()),
-        queue.value_or(queueing.FifoQueue()),
+        limiter.value_or(limiting.Fixed()),
+        queue.value_or(admission.Fifo()),
     )
--- a/toucanfold/egress.py
+++ b/toucanfold/egress.py
@@ -12,6 +12,7 @@
     metrics,
     model,
     parts,
+    pressure,
     replies,
 )
 
@@ -41,6 +42,7 @@
         forwarder: linkcalls.CallRunner,
         measured: metrics.Metrics,
         max_depth: int,
+        learnt: pressure.LearntLevels | None = None,
     ):
         self.running = 0
         self._lookup = parts.Lookup(source, b"")
@@ -48,6 +50,7 @@
         self._forwarder = forwarder
         self._metrics = measured
         self._max_depth = max_depth
+        self._learnt = learnt or pressure.LearntLevels()
         self._loop = asyncio.get_running_loop()
         self._children: dict[str, set[asyncio.Task[Any]]] = {}
 
@@ -82,6 +85,7 @@
         try:
             answer = await self._run(request, child, reserved)
             spent, level = answer.attempts_spent, answer.level
+            self._learnt.on_answer(self._loop.time(), token.call.pressure_key, level)
         finally:
             self.running -= 1
             token.child_ended(self._loop.time(), reserved, spent, level)
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -12,6 +12,7 @@
     metrics,
     model,
     parts,
+    pressure,
     replies,
 )
 
@@ -57,7 +58,7 @@
         forwarder: linkcalls.CallRunner,
         measured: metrics.Metrics,
         rng: random.Random,
-        levels: parts.Levels | None = None,
+        levels: pressure.LearntLevels | None = None,
         rate: parts.Rate | None = None,
         serve_open_when_stale: bool = False,
     ):
@@ -68,7 +69,7 @@
         self._forwarder = forwarder
         self._metrics = measured
         self._rng = rng
-        self._levels = levels or parts.OpenLevels()
+        self._levels = levels or pressure.LearntLevels()
         self._rate = rate or parts.NoRate()
         self._serve_open_when_stale = serve_open_when_stale
         self._loop = asyncio.get_running_loop()
@@ -160,9 +161,9 @@
         self, request: httpserver.Request, admitted: Admitted
     ) -> calls.Answer:
         call = _to_call(request, admitted)
-        route = admitted.route.name
+        key = call.pressure_key
         now = self._loop.time()
-        if not self._levels.admits(now, route, call.level, self._rng):
+        if not self._levels.admits(now, key, call.level, self._rng):
             bodies.drop(call.body_stream)
             return calls.refuse(
                 calls.Kind.OVERLOADED, "a service of this route is overloaded"
@@ -177,7 +178,7 @@
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
-        self._levels.on_answer(self._loop.time(), route, answer.level)
+        self._levels.on_answer(self._loop.time(), key, answer.level)
         return answer
 
     def _observe(
--- a/toucanfold/parts.py
+++ b/toucanfold/parts.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from toucanfold import calls, dispatch, model, peers
 
@@ -110,27 +110,6 @@
             self._routes.setdefault(route.service, []).append(route)
 
 
-class Levels(Protocol):
-    """Pressure learnt from answers, per route; pressure.LearntLevels is one."""
-
-    def on_answer(self, now: float, route: str, level: int) -> None:
-        """Learn the level of an answer."""
-
-    def admits(self, now: float, route: str, level: int, rng: random.Random) -> bool:
-        """Whether a call of a level may go on."""
-
-
-class OpenLevels:
-    """Learns nothing and admits every call."""
-
-    def on_answer(self, now: float, route: str, level: int) -> None:
-        """Learn nothing."""
-
-    def admits(self, now: float, route: str, level: int, rng: random.Random) -> bool:
-        """Admit the call."""
-        return True
-
-
 class Rate(Protocol):
     """Waits for a token of a client account or says how long until there is one."""
 
@@ -174,6 +153,3 @@
                 calls.Kind.NO_TARGET, f"no target of {call.service} is up"
             )
         return await self._links.run(self._rng.choice(usable), call)
-
-
-Dump = dict[str, Any]
--- a/toucanfold/plugins.py
+++ b/toucanfold/plugins.py
@@ -4,6 +4,6 @@
 that reads profiles needs the whole registry and not only what it happens to import.
 """
 
-from toucanfold import admission, balancers, limiter, limits, queueing
+from toucanfold import admission, balancers, limiter, limits
 
-MODULES = (admission, balancers, limiter, limits, queueing)
+MODULES = (admission, balancers, limiter, limits)
