--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -12,15 +12,16 @@
     headers,
     httpclient,
     kernel,
+    limiter,
     metrics,
     model,
     pressure,
 )
-from toucanfold import limiter as limiting
 
 WINDOW_S = 0.1
 # Weight of the newest sample in the mean time that a call runs.
 SERVICE_TIME_GAIN = 0.1
+RETRY_AFTER_MS = 200
 RANK_NAMES = {rank: name for name, rank in model.CLASS_RANKS.items()}
 
 
@@ -45,7 +46,7 @@
         pool: httpclient.Pool,
         tokens: calls.TokenTable,
         measured: metrics.Metrics,
-        limiter: limiting.ConcurrencyLimiter,
+        concurrency: limiter.ConcurrencyLimiter,
         queue: admission.AdmissionQueue,
         learnt: pressure.LearntLevels | None = None,
     ):
@@ -55,7 +56,7 @@
         self.level = calls.MAX_LEVEL
         # Called with the token of a call that ended without its target's answer.
         self.on_abandoned: Callable[[calls.CallToken], None] | None = None
-        self._limiter = limiter
+        self._limiter = concurrency
         self._queue = queue
         self._learnt = learnt or pressure.LearntLevels()
         self._metrics = measured
@@ -87,12 +88,12 @@
 
     def replace(
         self,
-        limiter: limiting.ConcurrencyLimiter,
+        concurrency: limiter.ConcurrencyLimiter,
         queue: admission.AdmissionQueue,
     ) -> None:
         """Change the plug-ins; waiting calls move to the new queue in order."""
         now = self._loop.time()
-        self._limiter, old, self._queue = limiter, self._queue, queue
+        self._limiter, old, self._queue = concurrency, self._queue, queue
         while True:
             ticket, refused = old.take(now, 0.0)
             self._refuse(refused)
@@ -124,7 +125,10 @@
         )
         if refusal is not None:
             self._metrics.count(f"refused.{refusal}")
-            return self._stamp(call, calls.refuse(refusal, "not dispatched"), None)
+            refused = calls.refuse(
+                refusal, "not dispatched", retry_after_ms=RETRY_AFTER_MS
+            )
+            return self._stamp(call, refused, None)
         return await self._dispatch(call, started_at)
 
     async def _wait(
@@ -188,14 +192,14 @@
             running.timer = self._loop.call_at(call.deadline, self._on_late, running)
             answer, kind = await self._exchange(call, running)
         except BaseException:
-            self._end(running, limiting.FinishKind.CANCELLED)
+            self._end(running, limiter.FinishKind.CANCELLED)
             raise
         answer.target_seconds = self._loop.time() - started_at
         stream = answer.body_stream
         if isinstance(stream, bodies.BodyStream):
             stream.on_end(
                 lambda complete: self._end(
-                    running, kind if complete else limiting.FinishKind.CANCELLED
+                    running, kind if complete else limiter.FinishKind.CANCELLED
                 )
             )
         else:
@@ -204,12 +208,12 @@
 
     async def _exchange(
         self, call: calls.Call, running: _Running
-    ) -> tuple[calls.Answer, limiting.FinishKind]:
+    ) -> tuple[calls.Answer, limiter.FinishKind]:
         acquired = await self._acquire(call)
         if isinstance(acquired, calls.Answer):
-            kind = limiting.FinishKind.SHED
+            kind = limiter.FinishKind.SHED
             if acquired.refusal and acquired.refusal.kind == "deadline_exceeded":
-                kind = limiting.FinishKind.TIMEOUT
+                kind = limiter.FinishKind.TIMEOUT
             return acquired, kind
         running.connection = acquired
         exchanged = await acquired.exchange(
@@ -240,7 +244,7 @@
 
     def _failed(
         self, call: calls.Call, error: exceptions.TargetError
-    ) -> tuple[calls.Answer, limiting.FinishKind]:
+    ) -> tuple[calls.Answer, limiter.FinishKind]:
         outcome = calls.Outcome.UNKNOWN if error.sent else calls.Outcome.NOT_RUN
         if error.answered:
             outcome = calls.Outcome.RAN
@@ -248,9 +252,9 @@
             late = calls.refuse(
                 calls.Kind.DEADLINE_EXCEEDED, "the target did not answer", outcome
             )
-            return late, limiting.FinishKind.TIMEOUT
+            return late, limiter.FinishKind.TIMEOUT
         failed = calls.refuse(calls.Kind.TARGET_FAILED, error.message, outcome)
-        return failed, limiting.FinishKind.FAILED
+        return failed, limiter.FinishKind.FAILED
 
     def _target_headers(
         self, call: calls.Call, token: calls.CallToken
@@ -279,21 +283,21 @@
         if running.connection is not None and not running.ended:
             running.connection.abort()
 
-    def _end(self, running: _Running, kind: limiting.FinishKind) -> None:
+    def _end(self, running: _Running, kind: limiter.FinishKind) -> None:
         if running.ended:
             return
         running.ended = True
         now = self._loop.time()
         if running.timer is not None:
             running.timer.cancel()
-        self.in_flight -= 1
         own_time_s = running.token.own_seconds(running.started_at, now)
-        if kind == limiting.FinishKind.OK:
+        if kind == limiter.FinishKind.OK:
             took = now - running.started_at
             self._service_time_s += SERVICE_TIME_GAIN * (took - self._service_time_s)
         self._limiter.on_finish(now, own_time_s, self.in_flight, kind)
+        self.in_flight -= 1
         self.tokens.end(running.token)
-        if kind not in (limiting.FinishKind.OK, limiting.FinishKind.SHED):
+        if kind not in (limiter.FinishKind.OK, limiter.FinishKind.SHED):
             self._metrics.count(f"target.{kind.name.lower()}")
             if self.on_abandoned is not None:
                 self.on_abandoned(running.token)
@@ -339,14 +343,14 @@
 
 def _answered(
     answer: httpclient.TargetAnswer,
-) -> tuple[calls.Answer, limiting.FinishKind]:
+) -> tuple[calls.Answer, limiter.FinishKind]:
     if answer.status != 503:
         kept = headers.for_caller(answer.headers)
         return (
             calls.Answer(
                 answer.status, kept, answer.body, body_stream=answer.body_stream
             ),
-            limiting.FinishKind.OK,
+            limiter.FinishKind.OK,
         )
     if headers.find(answer.headers, b"toucanfold-not-run") == b"1":
         bodies.drop(answer.body_stream)
@@ -357,24 +361,21 @@
             "the target refused the call",
             retry_after_ms=retry_after_ms,
         )
-        return refused, limiting.FinishKind.SHED
+        return refused, limiter.FinishKind.SHED
     kept = headers.for_caller(answer.headers)
     passed = calls.Answer(503, kept, answer.body, body_stream=answer.body_stream)
-    return passed, limiting.FinishKind.SHED
+    return passed, limiter.FinishKind.SHED
 
 
 def create_plugins(
     profile: model.Profile,
-) -> tuple[limiting.ConcurrencyLimiter, admission.AdmissionQueue]:
+) -> tuple[limiter.ConcurrencyLimiter, admission.AdmissionQueue]:
     """Create the limiter and the queue that a profile names, or the baselines."""
-    limiter = kernel.create("limiter", profile.limiter)
+    concurrency = kernel.create("limiter", profile.limiter)
     queue = kernel.create(
         "admission",
         profile.admission,
         length=profile.queue_length,
         time_s=profile.queue_ms / 1000,
     )
-    return (
-        limiter.value_or(limiting.Fixed()),
-        queue.value_or(admission.Fifo()),
-    )
+    return concurrency.value_or(limiter.Fixed()), queue.value_or(admission.Fifo())
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -161,8 +161,9 @@
         self, request: httpserver.Request, admitted: Admitted
     ) -> calls.Answer:
         call = _to_call(request, admitted)
-        key = call.pressure_key
         now = self._loop.time()
+        # Fair shares make the level of one route differ between client accounts.
+        key = call.pressure_key
         if not self._levels.admits(now, key, call.level, self._rng):
             bodies.drop(call.body_stream)
             return calls.refuse(
