--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,7 +4,7 @@
 import fleetparts
 import helpers
 
-from toucanfold import httpserver
+from toucanfold import httpserver, link
 
 
 def scenario(test):
@@ -164,3 +164,54 @@
         assert reply.headers["connection"] == "close"
         await draining
         assert fleet.source.events == ["drain", "leave"]
+
+
+@scenario
+async def test_drain_under_load_loses_nothing():
+    """Guards against requests that are cut while a daemon of a fleet leaves."""
+
+    async def answer(request):
+        await asyncio.sleep(0.01)
+        return httpserver.Response(200, [], request.path.encode())
+
+    async def keep_calling(address, results):
+        """Send requests on kept connections; open a new one after each close."""
+        number = 0
+        while not results["stop"]:
+            reader, writer = await asyncio.open_connection(*link.split_address(address))
+            closing = False
+            while not closing and not results["stop"]:
+                number += 1
+                path = f"/{number}"
+                writer.write(fleetparts.request_bytes(path=path, service="parts"))
+                reply = await fleetparts.read_reply(reader)
+                kind = "ok" if reply.status == 200 else json.loads(reply.body)["kind"]
+                assert kind != "ok" or reply.body == path.encode()
+                results[kind] = results.get(kind, 0) + 1
+                closing = reply.headers.get("connection") == "close"
+            writer.close()
+
+    state = fleetparts.fleet_state(("shop", "parts"), idempotent=False)
+    async with fleetparts.Fleet(state) as fleet:
+        target = fleetparts.Recorder(answer)
+        await fleet.daemon("a", "shop", await fleet.target(target))
+        for name in ("b", "c"):
+            await fleet.daemon(name, "parts", await fleet.target(target))
+        fleet.source.publish()
+        results = {"stop": False}
+        callers = [
+            asyncio.ensure_future(keep_calling(fleet.address("a"), results))
+            for _ in range(8)
+        ]
+        await asyncio.sleep(0.3)
+        leaving = fleet.daemons["b"]
+        await leaving.drain()
+        leaving.stop()
+        state.targets["b"].state = "left"
+        state.revision += 1
+        fleet.source.publish()
+        await asyncio.sleep(0.2)
+        results["stop"] = True
+        await asyncio.gather(*callers)
+        assert set(results) == {"stop", "ok"}
+        assert results["ok"] == len(target.requests)
--- a/toucanfold/bodies.py
+++ b/toucanfold/bodies.py
@@ -112,5 +112,5 @@
 
 def drop(stream: Any) -> None:
     """Tell the producer of a stream, if there is one, that nobody reads it."""
-    if isinstance(stream, BodyStream):
+    if hasattr(stream, "drop"):
         stream.drop()
--- a/toucanfold/egress.py
+++ b/toucanfold/egress.py
@@ -161,7 +161,7 @@
             priority=parent.priority,
             attempts_left=reserved,
             idempotency_key=child.idempotency_key,
-            body_stream=request.body_stream,
+            body_stream=entry.guarded(request),
         )
 
 
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -8,6 +8,7 @@
     calls,
     headers,
     httpserver,
+    keyguard,
     linkcalls,
     metrics,
     model,
@@ -160,6 +161,8 @@
     async def _run(
         self, request: httpserver.Request, admitted: Admitted
     ) -> calls.Answer:
+        if headers.has_key(request.body):
+            return calls.refuse(calls.Kind.BAD_REQUEST, "the body holds a key")
         call = _to_call(request, admitted)
         now = self._loop.time()
         # Fair shares make the level of one route differ between client accounts.
@@ -229,6 +232,12 @@
     return int(text)
 
 
+def guarded(request: httpserver.Request) -> keyguard.KeyGuard | None:
+    """Return the stream of a request's body without keys, None if it is whole."""
+    stream = request.body_stream
+    return None if stream is None else keyguard.KeyGuard(stream)
+
+
 def target_headers(request: httpserver.Request) -> calls.Headers:
     """Return the fields of a request that its target may see."""
     return headers.for_target(request.headers, request.body_stream is not None)
@@ -272,5 +281,5 @@
         priority=calls.priority_of(admitted.root_id),
         attempts_left=profile.attempts,
         idempotency_key=admitted.idempotency_key,
-        body_stream=request.body_stream,
+        body_stream=guarded(request),
     )
