Keep links open under many long bodies and wake waiting connects

Cause: 60 streams of 1 MB over one link filled its buffer past the limit, which closed it; a cancelled connect to the target left the calls that waited for its place asleep. Change: a body waits while 1 MiB is unsent on its link; each failed or cancelled connect wakes one waiting call. Conclusion: both faults have a test that failed before.

--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,151 @@
+import asyncio
+
+import fleetparts
+import helpers
+from returns import result
+
+from toucanfold import httpclient, link
+
+
+async def exchange(pool, path="/"):
+    """Run one exchange on a connection of the pool."""
+    connection = (await pool.acquire()).unwrap()
+    fields = [(b"host", b"a")]
+    return await connection.exchange("GET", path, fields, b"", None)
+
+
+def with_target(talk, test, limit=10):
+    """Run a test with a pool of connections to a raw target."""
+
+    async def scenario():
+        async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+            pool = httpclient.Pool(await fleet.raw_target(talk), limit)
+            fleet.stack.callback(pool.close)
+            await test(pool)
+
+    helpers.run(scenario())
+
+
+def test_cancelled_connect_lets_the_next_one_try(monkeypatch):
+    """Guards against waiting calls that nobody wakes after a cancelled connect."""
+
+    async def scenario():
+        started = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        address = helpers.free_address()
+        server = await asyncio.start_server(
+            lambda reader, writer: None, *link.split_address(address)
+        )
+        connect = loop.create_connection
+
+        async def slow(*arguments, **options):
+            started.set()
+            await asyncio.sleep(0.2)
+            return await connect(*arguments, **options)
+
+        monkeypatch.setattr(loop, "create_connection", slow)
+        pool = httpclient.Pool(address, 1)
+        first = asyncio.ensure_future(pool.acquire())
+        await started.wait()
+        second = asyncio.ensure_future(pool.acquire())
+        await asyncio.sleep(0.01)
+        first.cancel()
+        acquired = await asyncio.wait_for(second, 2)
+        assert isinstance(acquired, result.Success)
+        pool.close()
+        server.close()
+
+    helpers.run(scenario())
+
+
+def test_bytes_after_an_answer_are_never_the_next_answer():
+    """Guards against an answer that a target sends without a request."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+    async def talk(reader, writer):
+        path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+        writer.write(answer + path + answer + b"wrong")
+        await reader.read()
+
+    async def test(pool):
+        for number in range(5):
+            path = f"/abc{number}"
+            got = (await exchange(pool, path)).unwrap()
+            assert got.body == path.encode()
+            await asyncio.sleep(0.01 * (number % 2))
+
+    with_target(talk, test)
+
+
+def test_answer_while_idle_closes_the_connection():
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+    async def talk(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(answer)
+        await reader.read()
+
+    async def test(pool):
+        await exchange(pool)
+        assert pool.idle == 1
+        await asyncio.sleep(0.15)
+        assert (pool.idle, len(pool)) == (0, 0)
+
+    with_target(talk, test)
+
+
+def test_closed_idle_connection_is_not_used():
+    """Guards against a request sent on a connection that the target closed."""
+
+    async def talk(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await asyncio.sleep(0.02)
+        writer.close()
+
+    async def test(pool):
+        for _ in range(3):
+            assert (await exchange(pool)).unwrap().status == 200
+            await asyncio.sleep(0.05)
+            assert len(pool) == 0
+
+    with_target(talk, test)
+
+
+def test_interim_answers_are_skipped():
+    async def talk(reader, writer):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def test(pool):
+        for _ in range(3):
+            got = (await exchange(pool)).unwrap()
+            assert (got.status, got.body) == (200, b"ok")
+        assert len(pool) == 1
+
+    with_target(talk, test)
+
+
+def test_answer_in_single_bytes():
+    async def talk(reader, writer):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            for byte in (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"5\r\nhello\r\n0\r\nX: y\r\n\r\n"
+            ):
+                writer.write(bytes([byte]))
+                await writer.drain()
+                await asyncio.sleep(0)
+
+    async def test(pool):
+        for _ in range(2):
+            assert (await exchange(pool)).unwrap().body == b"hello"
+        assert len(pool) == 1
+
+    with_target(talk, test)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,7 +5,7 @@
 import helpers
 from test_dispatch import make_call
 
-from toucanfold import calls, link, model, peers
+from toucanfold import bodies, calls, link, model, peers
 
 
 class Runner:
@@ -182,3 +182,31 @@
         server.stop()
 
     helpers.run(scenario())
+
+
+def test_many_long_bodies_share_a_link():
+    """Guards against a link that closes since all bodies fill its buffer at once."""
+    size, count = 1_000_000, 60
+
+    class Long(Runner):
+        async def run(self, call):
+            stream = bodies.BodyStream()
+            for _ in range(size // 50_000):
+                stream.put(b"x" * 50_000)
+            stream.finish()
+            return calls.Answer(200, [], b"", body_stream=stream)
+
+    async def scenario():
+        server, target = await make_peers("b", Long())
+        client, _ = await make_peers("a", Runner())
+
+        async def read():
+            answer = await client.run(target, make_call(service="parts", deadline_s=15))
+            return sum([len(part) async for part in answer.body_stream])
+
+        sizes = await asyncio.gather(*(read() for _ in range(count)))
+        assert sizes == [size] * count
+        client.stop()
+        server.stop()
+
+    helpers.run(scenario())
--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -433,14 +433,16 @@
                 _, made = await asyncio.get_running_loop().create_connection(
                     lambda: Connection(self), host, port
                 )
+            self._all.add(made)
+            return result.Success(made)
         except (OSError, TimeoutError) as error:
-            self._wake()
             message = f"no connection to the target: {error or 'timeout'}"
             return result.Failure(exceptions.TargetError(message, sent=False))
         finally:
             self._connecting -= 1
-        self._all.add(made)
-        return result.Success(made)
+            # Without a connection the place is free, also after a cancellation.
+            if len(self) < self.limit:
+                self._wake()
 
     def _wake(self) -> None:
         while self._waiters:
--- a/toucanfold/linkcalls.py
+++ b/toucanfold/linkcalls.py
@@ -14,6 +14,10 @@
 ANSWER_GRACE_S = 0.03
 # Credit is given back in steps, so that small parts do not cost a frame each.
 CREDIT_STEP_BYTES = 32 << 10
+# Bodies wait while this much is unsent on their link. It keeps the link's buffer
+# bounded however many bodies share it, and short calls from waiting behind them.
+FULL_LINK_BYTES = 1 << 20
+FULL_LINK_PAUSE_S = 0.005
 
 
 class CallRunner(Protocol):
@@ -64,6 +68,8 @@
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         self._credit -= size
+        while self._link.buffered_bytes > FULL_LINK_BYTES:
+            await asyncio.sleep(FULL_LINK_PAUSE_S)
 
     def _send(self, data: bytes, last: bool = False, aborted: bool = False) -> bool:
         return self._link.send(
