--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -378,4 +378,7 @@
         length=profile.queue_length,
         time_s=profile.queue_ms / 1000,
     )
-    return concurrency.value_or(limiter.Fixed()), queue.value_or(admission.Fifo())
+    return (
+        concurrency.value_or(limiter.Fixed()),
+        queue.value_or(admission.Fifo()),
+    )
--- a/toucanfold/egress.py
+++ b/toucanfold/egress.py
@@ -81,14 +81,16 @@
         reserved = token.reserve_attempts()
         token.child_started(self._loop.time())
         self.running += 1
-        spent, level = reserved, calls.MAX_LEVEL
+        spent = reserved
         try:
             answer = await self._run(request, child, reserved)
-            spent, level = answer.attempts_spent, answer.level
-            self._learnt.on_answer(self._loop.time(), token.call.pressure_key, level)
+            spent = answer.attempts_spent
+            self._learnt.on_answer(
+                self._loop.time(), token.call.pressure_key, answer.level
+            )
         finally:
             self.running -= 1
-            token.child_ended(self._loop.time(), reserved, spent, level)
+            token.child_ended(self._loop.time(), reserved, spent)
         return replies.response(answer, root_id)
 
     def on_abandoned(self, token: calls.CallToken) -> None:
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -164,9 +164,8 @@
         if headers.has_key(request.body):
             return calls.refuse(calls.Kind.BAD_REQUEST, "the body holds a key")
         call = _to_call(request, admitted)
-        now = self._loop.time()
-        # Fair shares make the level of one route differ between client accounts.
         key = call.pressure_key
+        now = self._loop.time()
         if not self._levels.admits(now, key, call.level, self._rng):
             bodies.drop(call.body_stream)
             return calls.refuse(
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -14,6 +14,9 @@
 PING_S = 0.5
 # An applied change is confirmed at once, but not more often than this.
 MIN_PING_S = 0.1
+# How often the holder is asked whether it has shares to give back; a call that waits
+# for a grant uses ping_soon.
+POLL_S = 0.05
 SILENCE_S = 0.9
 # Pause before another round after all instances failed.
 RETRY_S = 0.2
@@ -290,15 +293,22 @@
     async def _pause(self) -> None:
         """Wait until the next ping, a wake-up or the end of the silence limit."""
         loop = asyncio.get_running_loop()
-        until_silent = self._answered_at + SILENCE_S - loop.time() + 0.001
-        try:
-            limit_s = min(PING_S - MIN_PING_S, until_silent)
-            async with asyncio.timeout(max(0.0, limit_s)):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
+        end = loop.time() + PING_S - MIN_PING_S
+        end = min(end, self._answered_at + SILENCE_S + 0.001)
+        while (now := loop.time()) < end and not self._wants_ping(now):
+            step_s = end - now if self._holder is None else min(POLL_S, end - now)
+            try:
+                async with asyncio.timeout(step_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
         self._wake.clear()
 
+    def _wants_ping(self, now: float) -> bool:
+        if self._wake.is_set():
+            return True
+        return self._holder is not None and self._holder.wants_ping(now)
+
     def _ping(self, now: float) -> None:
         ping = messages.WatchPing(
             sequence=self._known.on_send(now),
@@ -308,9 +318,9 @@
             complete=self.complete_copies(),
         )
         if self._holder is not None:
+            ping.raft_term = self._holder.raft_term
             ping.demands = self._holder.demands(now)
             ping.shares = self._holder.held(now)
-            ping.raft_term = self._holder.raft_term
         if self._link is not None:
             self._link.send(ping)
 
