Write only JSON lines to the log and test SIGTERM

Cause: absl printed a plain warning line, since its global flags are never parsed. Change: logs.set_up marks them as parsed. A test starts a daemon process without control, checks its refusal and ends it with SIGTERM. Conclusion: the process drains and exits with status 0 without control.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,5 +1,9 @@
 import asyncio
 import json
+import signal
+import subprocess
+import sys
+import time
 
 import fleetparts
 import helpers
@@ -215,3 +219,32 @@
         await asyncio.gather(*callers)
         assert set(results) == {"stop", "ok"}
         assert results["ok"] == len(target.requests)
+
+
+def test_process_ends_after_sigterm_without_control(tmp_path):
+    """Guards against a stop that waits for a control which cannot be reached."""
+    settings = fleetparts.make_settings(
+        tmp_path, "a", "shop", helpers.free_address(), control=helpers.free_address()
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "toucanfold", "daemon", f"--settings={settings.file}"],
+        stderr=subprocess.PIPE,
+    )
+    try:
+        address = settings.get("daemon", "caller_listen")
+        limit = time.monotonic() + 10
+        while True:
+            try:
+                reply = helpers.run(fleetparts.fetch(address))
+                break
+            except OSError:
+                assert time.monotonic() < limit
+                time.sleep(0.05)
+        assert json.loads(reply.body)["kind"] == "control_stale"
+        process.send_signal(signal.SIGTERM)
+        _, errors = process.communicate(timeout=15)
+        assert process.returncode == 0
+        lines = [json.loads(line) for line in errors.splitlines()]
+        assert [line["message"] for line in lines][-1] == "drained"
+    finally:
+        process.kill()
--- a/toucanfold/logs.py
+++ b/toucanfold/logs.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-from absl import logging
+from absl import flags, logging
 
 request_id: contextvars.ContextVar[str] = contextvars.ContextVar(
     "request_id", default=""
@@ -40,6 +40,8 @@
 
 def set_up(process: str, level: str = "info") -> None:
     """Send all log records to standard error as JSON lines."""
+    # Commands parse flags of their own; absl would otherwise print a warning line.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(process))
     logging.use_absl_handler()
