Drop the unread answers of hedged calls

Cause: forward closed only async generators, but streamed answers are BodyStreams, so a target's connection stayed in use until the deadline; and each attempt copied its call even when nothing changed. Change: _discard drops the stream; _send copies the call only when a field differs. Conclusion: a test that failed before covers the stream.

--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -10,7 +10,7 @@
 import pytest
 from fleetparts import KEY, OTHER_KEY
 
-from toucanfold import headers, httpserver, link, messages
+from toucanfold import bodies, calls, forward, headers, httpserver, link, messages
 
 KEY_POSITIONS = {
     "authorization": {"Toucanfold_Key": None, "Authorization": f"Bearer {KEY}"},
@@ -514,3 +514,10 @@
             pass
 
     return Owner()
+
+
+def test_answer_of_an_unused_attempt_is_dropped():
+    """Guards against a target's connection that is held by an answer nobody reads."""
+    stream = bodies.BodyStream()
+    helpers.run(forward._discard(calls.Answer(200, body_stream=stream)))
+    assert stream.dropped
--- a/toucanfold/forward.py
+++ b/toucanfold/forward.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncGenerator, Callable
 from typing import Protocol
 
-from toucanfold import calls, model, retries, router
+from toucanfold import bodies, calls, model, retries, router
 
 # The daemon that runs a call ends it at the deadline and knows its outcome; this
 # time lets its answer arrive before the call is given up here as unknown.
@@ -158,7 +158,9 @@
         self, call: calls.Call, target: model.Target, reserved: int
     ) -> calls.Answer:
         name = target.name
-        sent = dataclasses.replace(call, slot=-1, attempts_left=reserved)
+        sent = call
+        if call.slot != -1 or call.attempts_left != reserved:
+            sent = dataclasses.replace(call, slot=-1, attempts_left=reserved)
         started_at = self._clock()
         self._router.on_start(started_at, name, router.call_bytes(call))
         limit = max(0.0, call.deadline - started_at) + DEADLINE_GRACE_S
@@ -306,6 +308,7 @@
     """Close the body of an answer that nobody reads."""
     if isinstance(answer.body_stream, AsyncGenerator):
         await answer.body_stream.aclose()
+    bodies.drop(answer.body_stream)
 
 
 def _may_ask_again(call: calls.Call, answer: calls.Answer) -> bool:
