--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -22,8 +22,12 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
+FIRST_PORT, LAST_PORT = 10_000, 32_000
 PR_SET_PDEATHSIG = 1
 
+# Bound but not listening: other processes find these ports taken, while the process
+# that an address is for can still listen on it, as both allow reuse.
+_reserved: list[socket.socket] = []
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -33,16 +37,29 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses with ports that are free now."""
-    probes = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        probes.append(probe)
-    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
-    for probe in probes:
+    """Return distinct loopback addresses that this process keeps reserved.
+
+    The ports lie below the range that the system gives to outgoing connections, so
+    that none of those takes a port before its listener starts.
+    """
+    found: list[str] = []
+    while len(found) < count:
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        if _reserve(port):
+            found.append(f"127.0.0.1:{port}")
+    return found
+
+
+def _reserve(port: int) -> bool:
+    probe = socket.socket()
+    try:
+        probe.bind(("127.0.0.1", port))
+    except OSError:
         probe.close()
-    return addresses
+        return False
+    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _reserved.append(probe)
+    return True
 
 
 class Process:
