--- a/toucanfold/demo.py
+++ b/toucanfold/demo.py
@@ -51,7 +51,7 @@
         await self._withdraw(caller)
         caller.close()
         await self._summarise()
-        left = await self._processes.stop_all()
+        left = await self._processes.stop_all([*self._local.names, "targets"])
         _check(not left, f"processes had to be killed: {left}")
         self._say(f"{len(self._processes.processes)} processes stopped as planned")
 
--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -204,17 +204,26 @@
         """Return the CPU seconds of each process."""
         return {name: each.cpu_s() for name, each in self.processes.items()}
 
-    async def stop_all(self, timeout_s: float = STOP_TIMEOUT_S) -> list[str]:
-        """End all processes together; return those that needed SIGKILL."""
-        names = list(self.processes)
-        clean = await asyncio.gather(
-            *(self.processes[name].stop(timeout_s) for name in names)
-        )
-        return [
-            name for name, is_clean in zip(names, clean, strict=True) if not is_clean
-        ]
+    async def stop_all(
+        self, last: Sequence[str] = (), timeout_s: float = STOP_TIMEOUT_S
+    ) -> list[str]:
+        """End all processes, some after the others; return those that needed SIGKILL.
+
+        Control instances and targets stop last, since daemons need them to drain.
+        """
+        killed = []
+        first = [name for name in self.processes if name not in last]
+        for names in (first, last):
+            clean = await asyncio.gather(
+                *(self.processes[name].stop(timeout_s) for name in names)
+            )
+            ended = zip(names, clean, strict=True)
+            killed += [name for name, is_clean in ended if not is_clean]
+        return killed
 
     def kill_all(self) -> None:
         """End what still runs at once."""
+        for process in self.processes.values():
+            process.send(signal.SIGKILL)
         for process in self.processes.values():
             process.kill()
