Score the steady state after a warm-up, and explain errors of a run

Cause: a new fleet starts with small concurrency limits, so a steady run of 3 s measured the cold start; ports of fleets came from the range of outgoing connections and one was taken before its daemon started. Change: requests planned before the warm-up's end are not scored; ports are chosen below that range; the progress line shows a message of each unclear error. Conclusion: steady measures the steady state.

--- a/tests/test_score.py
+++ b/tests/test_score.py
@@ -35,6 +35,15 @@
     assert line["added_p50_ms"] is not None
 
 
+def test_warm_up_is_not_scored():
+    """A cold fleet would lower the figures of the steady state."""
+    scenario = scenarios.Scenario("steady", 4.0, warm_s=2.0)
+    records = [record(n / 10, n >= 20) for n in range(40)]
+    line = score.line(make_run(records, scenario), "naive")
+    assert (line["offered"], line["goodput"]) == (10.0, 10.0)
+    assert line["goodput_ratio"] == 1.0
+
+
 def test_fill_serves_important_kinds_first():
     """The bound must not promise capacity which critical kinds need."""
     chains = [["a"], ["a", "b"], ["b"]]
--- a/toucanfold/bench.py
+++ b/toucanfold/bench.py
@@ -25,6 +25,8 @@
 LOAD_PARTS = 3
 LOAD_START_S = 1.0
 SETTLE_S = 0.3
+# Errors which a short word does not explain.
+EXPLAINED = {"connection_lost", "target_failed", "bad_request", "conflict"}
 POLICIES: dict[str, type[benchfleet.BenchFleet]] = {
     "toucanfold": productfleet.ProductFleet,
     "naive": benchfleet.NaiveFleet,
@@ -193,6 +195,9 @@
         f"cores busy {cpu_shares[0]:.0%}, by this bench {cpu_shares[1]:.0%}, "
         f"late p99 {late:.1f} ms, errors {errors}"
     )
+    samples = {name: text for fact in facts for name, text in fact["samples"].items()}
+    for name in EXPLAINED & samples.keys():
+        text += f"; {name}: {samples[name]}"
     if any(fact["self_limited"] for fact in facts):
         text += "; the load generator itself was the limit"
     return text
--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import shutil
 import signal
@@ -23,6 +24,9 @@
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
 PR_SET_PDEATHSIG = 1
+# Below the range from which the system takes ports of outgoing connections: one of
+# those could take the port of a process that has not started yet.
+PORTS = (15_000, 32_000)
 
 _libc = ctypes.CDLL(None, use_errno=True)
 
@@ -34,10 +38,14 @@
 
 def free_addresses(count: int) -> list[str]:
     """Return distinct loopback addresses with ports that are free now."""
-    probes = []
-    for _ in range(count):
+    probes: list[socket.socket] = []
+    while len(probes) < count:
         probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
+        try:
+            probe.bind(("127.0.0.1", random.randrange(*PORTS)))
+        except OSError:
+            probe.close()
+            continue
         probes.append(probe)
     addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
     for probe in probes:
--- a/toucanfold/loadgen.py
+++ b/toucanfold/loadgen.py
@@ -175,6 +175,8 @@
 
     def __init__(self, plan: Plan, run_id: str = "run"):
         self.records: list[Record] = []
+        # The first message of each kind of error, to explain a result.
+        self.samples: dict[str, str] = {}
         self._plan = plan
         self._run_id = run_id
         retries = client.Retries(plan.retries, has_budget=False)
@@ -246,6 +248,7 @@
             status, attempts = failure.status, failure.attempts
             cuts = failure.cuts
             error, outcome = failure.kind, failure.outcome
+            self.samples.setdefault(error, failure.message)
         # An answer after the deadline is of no use to the caller.
         if not error and latency_s > self._plan.kinds[shot.kind].timeout_ms / 1000:
             error = "late"
@@ -310,7 +313,7 @@
     began = time.process_time()
     asyncio.run(generator.run(shots, start_at))
     cpu_s = time.process_time() - began
-    facts = summary(generator.records, cpu_s)
+    facts = {**summary(generator.records, cpu_s), "samples": generator.samples}
     if FLAGS.output:
         write_records(FLAGS.output, generator.records, facts)
     print(json.dumps(facts))
--- a/toucanfold/score.py
+++ b/toucanfold/score.py
@@ -94,13 +94,16 @@
 
     @property
     def counted(self) -> list[loadgen.Record]:
-        """Records without those of an account whose key has been withdrawn."""
+        """Records after the warm-up and before their key was withdrawn."""
         names = [sender.name for sender in self.plan.senders]
         return [
             record
             for record in self.records
-            if names[record.sender] != self.withdrawn
-            or record.at_s < self.withdrawn_at_s
+            if record.at_s >= self.scenario.warm_s
+            and (
+                names[record.sender] != self.withdrawn
+                or record.at_s < self.withdrawn_at_s
+            )
         ]
 
 
@@ -111,7 +114,7 @@
         self._run = run
         self.by_kind = np.zeros(len(run.plan.kinds))
         self.by_account = np.zeros(len(run.plan.senders))
-        edges = {0.0, run.scenario.duration_s}
+        edges = {run.scenario.warm_s, run.scenario.duration_s}
         for phase in run.scenario.phases:
             edges |= {phase.start_s, phase.end_s}
         edges |= set(run.scenario.slow or ())
@@ -216,7 +219,7 @@
     }
     added = [
         (record.latency_s - record.target_s - record.late_s - delays_s) * 1000
-        for record in run.records
+        for record in run.counted
         if record.is_good and record.attempts == 1 and record.kind in single
     ]
     if not added:
@@ -296,8 +299,8 @@
         run.deployment.name,
         policy,
         run.plan.seed,
-        round(len(records) / run.scenario.duration_s, 1),
-        round(good / run.scenario.duration_s, 1),
+        round(len(records) / run.scenario.scored_s, 1),
+        round(good / run.scenario.scored_s, 1),
         round(good / max(1.0, allowed.total), 4),
         round(min(_account_ratios(run, records, allowed), default=0.0), 4),
         round(harmful_good / max(1.0, float(allowed.by_kind[harmful].sum())), 4),
