--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -33,3 +33,9 @@
         path = processes.write_settings("c1", "control", values)
         settings = config.read(path, "control").unwrap()
         assert len(config.read_secret(settings).unwrap()) == 64
+
+
+def test_a_port_is_given_once():
+    """Two processes of one fleet must not be told to listen on the same port."""
+    addresses = [fleet.free_addresses(5) for _ in range(200)]
+    assert len({address for group in addresses for address in group}) == 1000
--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -28,6 +28,8 @@
 # those could take the port of a process that has not started yet.
 PORTS = (15_000, 32_000)
 
+# A port is given once, since its process may bind it only much later.
+_given_ports: set[int] = set()
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -37,15 +39,19 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses with ports that are free now."""
+    """Return loopback addresses with free ports that were not given before."""
     probes: list[socket.socket] = []
     while len(probes) < count:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
         probe = socket.socket()
         try:
-            probe.bind(("127.0.0.1", random.randrange(*PORTS)))
+            probe.bind(("127.0.0.1", port))
         except OSError:
             probe.close()
             continue
+        _given_ports.add(port)
         probes.append(probe)
     addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
     for probe in probes:
--- a/toucanfold/scenarios.py
+++ b/toucanfold/scenarios.py
@@ -21,7 +21,8 @@
 class Scenario:
     """One scenario; times in seconds after the start of the load.
 
-    Requests planned before warm_s are sent but not scored. Recovery is counted from recover_from_s; a negative value means it does not apply.
+    Requests planned before warm_s are sent but not scored. Recovery is counted from
+    recover_from_s; a negative value means that it does not apply.
     """
 
     name: str
