Show where a bench run spends its CPU seconds

Cause: the share of the cores alone does not tell daemons from the load generator. Change: the progress shows the CPU seconds of control, proxies, targets and load.

--- a/toucanfold/bench.py
+++ b/toucanfold/bench.py
@@ -130,9 +130,12 @@
         )
         line = score.line(run, subject.policy)
         whole = max(0.01, total_after - total)
-        own = sum(max(0.0, used_after[name] - used.get(name, 0)) for name in used_after)
-        own += sum(fact["cpu_s"] for fact in facts)
-        shares = ((busy_after - busy) / whole, own / whole)
+        own = {
+            name: max(0.0, used_after[name] - used.get(name, 0)) for name in used_after
+        }
+        own["load"] = sum(fact["cpu_s"] for fact in facts)
+        shares = ((busy_after - busy) / whole, sum(own.values()) / whole)
+        progress(f"{label} {scenario.name}: CPU seconds {by_group(own)}")
         progress(f"{label} {scenario.name}: {summary(line, records, shares, facts)}")
         if counts.get("leaked_keys"):
             self.problems.append(f"{label} {scenario.name}: targets saw a key")
@@ -176,6 +179,16 @@
         return records, facts
 
 
+def by_group(used: dict[str, float]) -> dict[str, float]:
+    """Add the CPU seconds of processes of one kind (the first part of the name)."""
+    groups: dict[str, float] = {}
+    for name, seconds in used.items():
+        group = name.partition("-")[0]
+        group = group if group in ("control", "target", "load") else "proxies"
+        groups[group] = round(groups.get(group, 0.0) + seconds, 2)
+    return groups
+
+
 def summary(
     line: dict[str, Any],
     records: list[loadgen.Record],
