--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -28,6 +28,10 @@
 # those could take the port of a process that has not started yet.
 PORTS = (15_000, 32_000)
 
+# An address of the loopback network for this process, so that two fleets on one
+# machine cannot take each other's ports.
+_PID = os.getpid()
+HOST = f"127.{1 + (_PID >> 16) % 250}.{(_PID >> 8) % 256}.{_PID % 256}"
 # A port is given once, since its process may bind it only much later.
 _given_ports: set[int] = set()
 _libc = ctypes.CDLL(None, use_errno=True)
@@ -47,13 +51,13 @@
             continue
         probe = socket.socket()
         try:
-            probe.bind(("127.0.0.1", port))
+            probe.bind((HOST, port))
         except OSError:
             probe.close()
             continue
         _given_ports.add(port)
         probes.append(probe)
-    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+    addresses = [f"{HOST}:{probe.getsockname()[1]}" for probe in probes]
     for probe in probes:
         probe.close()
     return addresses
