Choose the ports of tests on 127.0.0.1

Cause: the tests' certificates name 127.0.0.1, while fleets now get an address of their own. Change: the tests choose ports below the outgoing range on 127.0.0.1.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,11 @@
 """Helpers shared by the tests."""
 
 import asyncio
+import contextlib
+import itertools
+import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Coroutine
@@ -10,7 +14,7 @@
 import hypothesis
 from returns import result
 
-from toucanfold import config, exceptions, fleet, kernel, link, members, messages, watch
+from toucanfold import config, exceptions, kernel, link, members, messages, watch
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=60, print_blob=True
@@ -18,14 +22,24 @@
 hypothesis.settings.load_profile("ci")
 
 
+_ports = itertools.cycle(range(10_000 + os.getpid() * 61 % 20_000, 32_000))
+
+
 def run(coroutine: Coroutine[Any, Any, Any], timeout_s: float = 20) -> Any:
     """Run a coroutine in a new event loop within a time limit."""
     return asyncio.run(asyncio.wait_for(coroutine, timeout_s))
 
 
 def free_address() -> str:
-    """Return a loopback address with a free port."""
-    return fleet.free_addresses(1)[0]
+    """Return a free port of 127.0.0.1, the address in the tests' certificates.
+
+    Ports of the outgoing range could be taken before their listener starts.
+    """
+    for port in itertools.islice(_ports, 1000):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
+    raise RuntimeError("no free port")
 
 
 class FakeReplica:
