--- a/toucanfold/debughttp.py
+++ b/toucanfold/debughttp.py
@@ -10,7 +10,10 @@
 
 
 class DebugHandler:
-    """Answers GET requests: / for all state, /NAME for one part of it."""
+    """Answers GET requests: / or /debug for all state, /debug/NAME for a part.
+
+    Control instances serve /debug too, so one command reads both.
+    """
 
     def __init__(self, dump: Dump):
         self._dump = dump
@@ -28,7 +31,8 @@
     async def handle(self, request: httpserver.Request) -> httpserver.Response:
         """Return the dump, or one part of it."""
         content: Any = self._dump()
-        name = request.path.partition("?")[0].strip("/")
+        path = request.path.partition("?")[0].strip("/")
+        name = path.removeprefix("debug").strip("/")
         if name and name not in content:
             return replies.broken_request(400, f"use one of: {', '.join(content)}")
         body = json.dumps(content[name] if name else content, default=str).encode()
