Do not eject a target whose idle link closed

Cause: links report every close as lost, also the planned one after 60 s without use, and the router then ejected a healthy target. Change: the router ignores the loss of a link without calls for 55 s; a test of the owner's tasks under losses, late states and resends. Conclusion: only links in use that are lost eject a target.

--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,12 +1,15 @@
 import asyncio
+import collections
 import dataclasses
+import random
 import time
 
 import helpers
+import pytest
 from test_forward import Script, soon
 from test_router import FAILED, OVERLOADED
 
-from toucanfold import calls, messages, model, outcomes, owner
+from toucanfold import calls, messages, model, outcomes, owner, slots
 
 
 class Net:
@@ -16,6 +19,7 @@
         self.owners = {}
         self.cut = []
         self.dropped = ()
+        self.rng = None
         self.links = {}
 
     def add(self, name, incarnation, sender):
@@ -47,12 +51,18 @@
 
     def send(self, message):
         frame = messages.encode(message)
-        asyncio.get_running_loop().call_soon(self.deliver, frame)
+        loop, rng = asyncio.get_running_loop(), self.net.rng
+        if rng is None:
+            loop.call_soon(self.deliver, frame)
+        elif rng.random() < 0.9:
+            loop.call_later(rng.choice([0.0, 0.0, 0.02, 0.2]), self.deliver, frame)
         return True
 
     def deliver(self, frame):
         pair = {self.source[0], self.receiver[0]}
-        if self.receiver[0] in self.net.owners and pair not in self.net.cut:
+        receiver = self.net.owners.get(self.receiver[0])
+        is_same = receiver and receiver.table._incarnation == self.receiver[1]
+        if is_same and pair not in self.net.cut:
             back = Wire(self.net, self.receiver, self.source)
             message = messages.decode(frame[4:])
             if not isinstance(message, self.net.dropped):
@@ -302,3 +312,94 @@
         assert helpers.run(scenario()) == ([("s", 3, 2)], 30)
     finally:
         outcomes.SYNC_PART_BYTES, owner.SYNC_LIMIT_S = saved, saved_limit
+
+
+class Targets:
+    """Runs bookings with random results and counts those that were not refused."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.ran = collections.Counter()
+
+    async def run(self, one):
+        if self.rng.random() < 0.2:
+            return dataclasses.replace(OVERLOADED, refusal=OVERLOADED.refusal)
+        self.ran[one.idempotency_key] += 1
+        await asyncio.sleep(self.rng.choice([0, 0.01, 0.1]))
+        return calls.Answer(status=200, body=one.idempotency_key.encode())
+
+
+class Chaos:
+    """Owners that are lost, restarted and replaced while callers resend bookings."""
+
+    def __init__(self, seed):
+        self.net, self.rng = Net(), random.Random(seed)
+        self.net.rng = self.rng
+        self.targets = Targets(self.rng)
+        self.state = model.FleetState()
+        self.state.profiles["p"] = model.Profile("p", idempotent=False)
+        self.state.routes["r"] = model.Route("r", "s", "p")
+        self.answered = {}
+        for number, name in enumerate("abc"):
+            self.start(name, number + 1)
+
+    def start(self, name, incarnation):
+        self.net.add(name, incarnation, self.targets)
+        self.state.targets[name] = model.Target(name, incarnation, "s", "r", "d", "x")
+
+    async def control(self):
+        for number in range(40):
+            if number % 8 == 5:
+                await self.disturb()
+            marks = set()
+            for made in self.net.owners.values():
+                marks |= set(made.complete_copies())
+            for slot in slots.plan(0.0, self.state, marks):
+                self.state.slots[slot.service, slot.number] = slot
+            late = model.FleetState.from_json(self.state.to_json())
+            for made in self.net.owners.values():
+                delay = self.rng.choice([0.0, 0.0, 0.05, 0.3])
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay, made.on_state, time.monotonic(), late)
+            await asyncio.sleep(0.03)
+
+    async def disturb(self):
+        name = self.rng.choice("abc")
+        target = self.state.targets[name]
+        action = self.rng.choice(["lost", "up", "restart", "restart"])
+        if action == "restart":
+            await self.net.owners.pop(name).close()
+            self.start(name, target.incarnation + 10)
+        else:
+            target.state = action
+
+    async def caller(self, key):
+        number = model.slot_of("acc", key)
+        for _ in range(12):
+            slot = self.state.slots.get(("s", number))
+            made = self.net.owners.get(slot.owner) if slot else None
+            if made is not None:
+                one = dataclasses.replace(
+                    booking(key, 0.15, epoch=slot.epoch), slot=number
+                )
+                try:
+                    answer = await made.run(one)
+                except asyncio.CancelledError:
+                    answer = OVERLOADED
+                if answer.refusal is None:
+                    assert answer.body == key.encode()
+                    self.answered[key] = True
+            await asyncio.sleep(self.rng.random() * 0.1)
+
+    async def run(self):
+        bookings = (self.caller(f"key{number}") for number in range(40))
+        await asyncio.gather(self.control(), *bookings)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_owners_under_losses_run_each_booking_at_most_once(seed):
+    """Guards against races of acknowledgements, new epochs and resends in the tasks."""
+    chaos = Chaos(seed)
+    helpers.run(chaos.run())
+    assert max(chaos.targets.ran.values()) == 1
+    assert len(chaos.answered) > 20
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -243,3 +243,14 @@
     assert {made.pick(0.0, call(slot=1)).name for _ in range(20)} == {"t3"}
     made.on_answer(0.0, "t3", OVERLOADED, 0.01)
     assert made.pick(0.5, call(slot=1)).name != "t3"
+
+
+def test_idle_link_that_closes_ejects_nobody():
+    """Guards against ejecting a healthy target because its link was not used."""
+    made = chooser([target(n, place=("r1", "a")) for n in range(4)])
+    for name in ("t1", "t2"):
+        made.on_start(10.0, name, 0)
+        made.on_answer(10.1, name, ok(), 0.1)
+    made.on_link(12.0, "t1", False)
+    made.on_link(71.0, "t2", False)
+    assert [item.target.name for item in made._services["s"].ejected] == ["t1"]
--- a/toucanfold/candidates.py
+++ b/toucanfold/candidates.py
@@ -24,6 +24,10 @@
 LEARNT_LOAD_S = 1.0
 
 
+# Links without use for 60 s are closed by either side, which is no failure.
+IDLE_S = 55.0
+
+
 class Candidate:
     """A target that may get calls, with what this daemon learnt about it."""
 
@@ -44,6 +48,7 @@
         "succeeded_at",
         "target",
         "tier",
+        "used_at",
     )
 
     def __init__(self, target: model.Target, tier: int, is_own: bool, since: float):
@@ -52,6 +57,7 @@
         self.is_own = is_own
         self.since = since
         self.in_flight = 0
+        self.used_at = float("-inf")
         self.limit = UNKNOWN_LIMIT
         self.others = 0
         self.others_at = float("-inf")
@@ -74,6 +80,10 @@
         """Time from which a probe may go to the ejected target."""
         return max(self.ejected_until, self.probing_since + PROBE_LIMIT_S)
 
+    def is_idle(self, now: float) -> bool:
+        """Whether nothing was sent for so long that the link may be closed."""
+        return self.in_flight == 0 and now - self.used_at >= IDLE_S
+
     def weight(self, now: float) -> float:
         """Return the share of the limit to use, which rises after a start."""
         age = now - self.since
--- a/toucanfold/router.py
+++ b/toucanfold/router.py
@@ -128,6 +128,7 @@
         if candidate is None:
             return
         candidate.in_flight += 1
+        candidate.used_at = now
         if candidate.tier == candidates.OTHER_REGION:
             self.budget.bytes_sent += size_bytes
             reserved = self._reserved.pop(name, 0)
@@ -175,7 +176,7 @@
     def on_link(self, now: float, name: str, is_up: bool) -> None:
         """Eject a target whose link was lost; an idle link that closes is not lost."""
         candidate = self._by_name.get(name)
-        if candidate is None:
+        if candidate is None or (not is_up and candidate.is_idle(now)):
             return
         if not is_up:
             candidate.silent = True
