--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -125,11 +125,10 @@
         )
         if refusal is not None:
             self._metrics.count(f"refused.{refusal}")
-            return self._stamp(
-                call,
-                calls.refuse(refusal, "not dispatched", retry_after_ms=RETRY_AFTER_MS),
-                None,
+            refused = calls.refuse(
+                refusal, "not dispatched", retry_after_ms=RETRY_AFTER_MS
             )
+            return self._stamp(call, refused, None)
         return await self._dispatch(call, started_at)
 
     async def _wait(
--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import shutil
 import signal
@@ -23,7 +24,16 @@
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
 PR_SET_PDEATHSIG = 1
-
+# Below the range from which the system takes ports of outgoing connections: one of
+# those could take the port of a process that has not started yet.
+PORTS = (15_000, 32_000)
+
+# An address of the loopback network for this process, so that two fleets on one
+# machine cannot take each other's ports.
+_PID = os.getpid()
+HOST = f"127.{1 + (_PID >> 16) % 250}.{(_PID >> 8) % 256}.{_PID % 256}"
+# A port is given once, since its process may bind it only much later.
+_given_ports: set[int] = set()
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -33,13 +43,21 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses with ports that are free now."""
-    probes = []
-    for _ in range(count):
+    """Return loopback addresses with free ports that were not given before."""
+    probes: list[socket.socket] = []
+    while len(probes) < count:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
         probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            probe.close()
+            continue
+        _given_ports.add(port)
         probes.append(probe)
-    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+    addresses = [f"{HOST}:{probe.getsockname()[1]}" for probe in probes]
     for probe in probes:
         probe.close()
     return addresses
@@ -204,17 +222,26 @@
         """Return the CPU seconds of each process."""
         return {name: each.cpu_s() for name, each in self.processes.items()}
 
-    async def stop_all(self, timeout_s: float = STOP_TIMEOUT_S) -> list[str]:
-        """End all processes together; return those that needed SIGKILL."""
-        names = list(self.processes)
-        clean = await asyncio.gather(
-            *(self.processes[name].stop(timeout_s) for name in names)
-        )
-        return [
-            name for name, is_clean in zip(names, clean, strict=True) if not is_clean
-        ]
+    async def stop_all(
+        self, last: Sequence[str] = (), timeout_s: float = STOP_TIMEOUT_S
+    ) -> list[str]:
+        """End all processes, some after the others; return those that needed SIGKILL.
+
+        Control instances and targets stop last, since daemons need them to drain.
+        """
+        killed = []
+        first = [name for name in self.processes if name not in last]
+        for names in (first, last):
+            clean = await asyncio.gather(
+                *(self.processes[name].stop(timeout_s) for name in names)
+            )
+            ended = zip(names, clean, strict=True)
+            killed += [name for name, is_clean in ended if not is_clean]
+        return killed
 
     def kill_all(self) -> None:
         """End what still runs at once."""
+        for process in self.processes.values():
+            process.send(signal.SIGKILL)
         for process in self.processes.values():
             process.kill()
