--- a/toucanfold/cluster.py
+++ b/toucanfold/cluster.py
@@ -9,7 +9,7 @@
 from absl import logging
 from returns import result
 
-from toucanfold import exceptions, leadership, link, messages, store
+from toucanfold import exceptions, leaderparts, leadership, link, messages, store
 
 RECONNECT_S = 0.2
 # The member with the larger name opens a link only if the other does not, for
@@ -45,7 +45,7 @@
         ] = {}
         self._ids = itertools.count(1)
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._replica: leadership.Replica | None = None
+        self._replica: leaderparts.Replica | None = None
         self._leadership: leadership.Leadership | None = None
 
     @property
@@ -54,7 +54,7 @@
         return sorted(self._links)
 
     def attach(
-        self, replica: leadership.Replica, leader: leadership.Leadership
+        self, replica: leaderparts.Replica, leader: leadership.Leadership
     ) -> None:
         """Set who handles messages and requests."""
         self._replica = replica
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -1,7 +1,6 @@
 """Composition root of a control instance and the ``toucanfold control`` command."""
 
 import asyncio
-import importlib
 import random
 import signal
 from collections.abc import Callable
@@ -28,6 +27,7 @@
     plugins,
     rafttypes,
     replica,
+    slots,
     storage,
     store,
     tls,
@@ -71,7 +71,7 @@
         self.cluster = cluster.Cluster(self._identity, self.store, contexts.link_client)
         self.replica = replica_factory(self.store, self.cluster.send)
         self.leadership = leadership.Leadership(
-            self.replica, self.store, leases.Grantor(), _make_planner()
+            self.replica, self.store, leases.Grantor(), slots.plan
         )
         self.cluster.attach(self.replica, self.leadership)
         self.watchers = watchers.Watchers(self.store, self.cluster)
@@ -192,13 +192,6 @@
             self.metrics.report()
 
 
-def _make_planner() -> leadership.Planner | None:
-    try:
-        return importlib.import_module("toucanfold.slots").plan
-    except ModuleNotFoundError:
-        return None
-
-
 def make_replica(settings: config.Settings) -> ReplicaFactory:
     """Return a factory of the replica on the data folder; raises StorageError."""
     folder = files.LocalFiles(settings.get("control", "data_folder"))
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -5,13 +5,21 @@
 import dataclasses
 import operator
 import time
-from collections.abc import Awaitable, Callable, Collection
-from typing import Any, Protocol
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 from absl import logging
 from returns import result
 
-from toucanfold import commands, exceptions, liveness, members, messages, model, store
+from toucanfold import (
+    commands,
+    exceptions,
+    leaderparts,
+    liveness,
+    members,
+    messages,
+    store,
+)
 
 TICK_S = 0.2
 # A daemon that has not confirmed a revision by then accepts no callers' requests.
@@ -29,103 +37,15 @@
 Reply = result.Result[Payload, exceptions.ToucanfoldError]
 
 
-class Replica(Protocol):
-    """What the control plane needs of replica.Replica."""
-
-    name: str
-
-    @property
-    def leader(self) -> str | None:
-        """Name of the leader as far as known."""
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this instance leads."""
-
-    @property
-    def term(self) -> int:
-        """Present term."""
-
-    @property
-    def commit_index(self) -> int:
-        """Index of the last committed entry."""
-
-    async def propose(
-        self, data: bytes
-    ) -> result.Result[tuple[int, Any], exceptions.ToucanfoldError]:
-        """Commit and apply an entry."""
-
-    async def confirm_read(self) -> result.Result[int, exceptions.ToucanfoldError]:
-        """Return the applied index of a confirmed lead."""
-
-    def on_message(self, sender: str, message: messages.Raft) -> None:
-        """Handle a message of another member."""
-
-    async def change_members(
-        self, change: members.MemberChange
-    ) -> result.Result[int, exceptions.ToucanfoldError]:
-        """Commit the first step of a change of members."""
-
-    def forecast(self, change: members.MemberChange) -> members.Forecast:
-        """Tell how many further losses the voters can bear with a change."""
-
-    async def transfer_leadership(self) -> None:
-        """Hand the lead to another member."""
-
-    def status(self) -> dict[str, Any]:
-        """Return what a state dump shows."""
-
-
-class Grantor(Protocol):
-    """What the leader needs of leases.Grantor."""
-
-    def on_lead(self, now: float, raft_term: int, state: model.FleetState) -> None:
-        """Start a lead."""
-
-    def on_state(self, now: float, state: model.FleetState) -> None:
-        """Take a new fleet state."""
-
-    def on_ping(
-        self,
-        now: float,
-        daemon: str,
-        incarnation: int,
-        raft_term: int,
-        demands: list[messages.Demand],
-        shares: list[messages.Share],
-    ) -> list[messages.Share]:
-        """Renew a daemon's shares and return its grants."""
-
-    def on_ended(self, now: float, daemon: str, incarnation: int) -> None:
-        """Take back the shares of an incarnation that has ended.
-
-        Called before its end is proposed: the next leader does not wait for it, so it
-        must get no shares while the change is committed.
-        """
-
-
-# Service, number and epoch of a slot.
-Mark = tuple[str, int, int]
-
-
-class Planner(Protocol):
-    """What the leader needs of slots.plan."""
-
-    def __call__(
-        self, now: float, state: model.FleetState, complete: Collection[Mark]
-    ) -> list[model.Slot]:
-        """Return the slots to assign next."""
-
-
 class Leadership:
     """Handles requests that only a confirmed leader may answer."""
 
     def __init__(
         self,
-        replica: Replica,
+        replica: leaderparts.Replica,
         fleet: store.Store,
-        grantor: Grantor | None = None,
-        planner: Planner | None = None,
+        grantor: leaderparts.Grantor | None = None,
+        planner: leaderparts.Planner | None = None,
     ):
         self._replica = replica
         self._store = fleet
@@ -140,7 +60,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._planned_revision = -1
         # Whole copies by daemon and incarnation, as reported in this lead.
-        self._complete: dict[tuple[str, int], frozenset[Mark]] = {}
+        self._complete: dict[tuple[str, int], frozenset[leaderparts.Mark]] = {}
         self._handlers: dict[str, Callable[[Payload], Awaitable[Reply]]] = {
             "command": self._on_command,
             "pings": self._on_pings,
@@ -301,7 +221,7 @@
             self._complete[key] = marks
             self._planned_revision = -1
 
-    def _complete_marks(self) -> set[Mark]:
+    def _complete_marks(self) -> set[leaderparts.Mark]:
         """Return the marks of the incarnations that the directory holds."""
         present = {
             (target.name, target.incarnation)
