--- a/toucanfold/fleet.py
+++ b/toucanfold/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import shutil
 import signal
@@ -22,12 +23,17 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
-FIRST_PORT, LAST_PORT = 10_000, 32_000
 PR_SET_PDEATHSIG = 1
-
-# Bound but not listening: other processes find these ports taken, while the process
-# that an address is for can still listen on it, as both allow reuse.
-_reserved: list[socket.socket] = []
+# Below the range from which the system takes ports of outgoing connections: one of
+# those could take the port of a process that has not started yet.
+PORTS = (15_000, 32_000)
+
+# An address of the loopback network for this process, so that two fleets on one
+# machine cannot take each other's ports.
+_PID = os.getpid()
+HOST = f"127.{1 + (_PID >> 16) % 250}.{(_PID >> 8) % 256}.{_PID % 256}"
+# A port is given once, since its process may bind it only much later.
+_given_ports: set[int] = set()
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
@@ -37,29 +43,24 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses that this process keeps reserved.
-
-    The ports lie below the range that the system gives to outgoing connections, so
-    that none of those takes a port before its listener starts.
-    """
-    found: list[str] = []
-    while len(found) < count:
-        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
-        if _reserve(port):
-            found.append(f"127.0.0.1:{port}")
-    return found
-
-
-def _reserve(port: int) -> bool:
-    probe = socket.socket()
-    try:
-        probe.bind(("127.0.0.1", port))
-    except OSError:
+    """Return loopback addresses with free ports that were not given before."""
+    probes: list[socket.socket] = []
+    while len(probes) < count:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        probe = socket.socket()
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            probe.close()
+            continue
+        _given_ports.add(port)
+        probes.append(probe)
+    addresses = [f"{HOST}:{probe.getsockname()[1]}" for probe in probes]
+    for probe in probes:
         probe.close()
-        return False
-    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    _reserved.append(probe)
-    return True
+    return addresses
 
 
 class Process:
@@ -221,17 +222,26 @@
         """Return the CPU seconds of each process."""
         return {name: each.cpu_s() for name, each in self.processes.items()}
 
-    async def stop_all(self, timeout_s: float = STOP_TIMEOUT_S) -> list[str]:
-        """End all processes together; return those that needed SIGKILL."""
-        names = list(self.processes)
-        clean = await asyncio.gather(
-            *(self.processes[name].stop(timeout_s) for name in names)
-        )
-        return [
-            name for name, is_clean in zip(names, clean, strict=True) if not is_clean
-        ]
+    async def stop_all(
+        self, last: Sequence[str] = (), timeout_s: float = STOP_TIMEOUT_S
+    ) -> list[str]:
+        """End all processes, some after the others; return those that needed SIGKILL.
+
+        Control instances and targets stop last, since daemons need them to drain.
+        """
+        killed = []
+        first = [name for name in self.processes if name not in last]
+        for names in (first, last):
+            clean = await asyncio.gather(
+                *(self.processes[name].stop(timeout_s) for name in names)
+            )
+            ended = zip(names, clean, strict=True)
+            killed += [name for name, is_clean in ended if not is_clean]
+        return killed
 
     def kill_all(self) -> None:
         """End what still runs at once."""
+        for process in self.processes.values():
+            process.send(signal.SIGKILL)
         for process in self.processes.values():
             process.kill()
