Wait until a change is in force in the admin command

Cause: a key that was just issued was refused by a daemon which had not heard of it yet (README quick start, once in two runs). Change: the command waits until the revision is in force and prints the laggards.

--- a/toucanfold/admin.py
+++ b/toucanfold/admin.py
@@ -41,6 +41,7 @@
 flags.DEFINE_integer(
     "wait_ms", 5000, "Longest wait for a change to be in force.", flag_values=FLAGS
 )
+flags.DEFINE_bool("wait", True, "Wait until a change is in force.", flag_values=FLAGS)
 flags.DEFINE_string(
     "authority", "", "CA file (PEM) if the listeners use TLS.", flag_values=FLAGS
 )
@@ -219,6 +220,18 @@
 }
 
 
+def _wait_in_force(client: adminclient.Client, value: dict[str, Any]) -> None:
+    """Add whether an accepted change is in force, and the daemons that lag."""
+    revision = value.get("revision")
+    if not FLAGS.wait or not value.get("accepted") or not isinstance(revision, int):
+        return
+    found = client.read(f"/v1/revisions/{revision}?wait_ms={FLAGS.wait_ms}")
+    if isinstance(found, result.Success):
+        waited = found.unwrap()
+        value["in_force"] = waited["in_force"]
+        value["laggards"] = waited["laggards"]
+
+
 def _is_failed_wait(words: list[str], value: dict[str, Any]) -> bool:
     return words[0] == "wait" and not value["in_force"]
 
@@ -241,5 +254,7 @@
         print(f"toucanfold: {answered.failure()}", file=sys.stderr)
         return 1
     value = answered.unwrap()
+    if words[0] != "wait":
+        _wait_in_force(client, value)
     print(json.dumps(value, indent=2))
     return 1 if _is_failed_wait(words, value) else 0
