Avoid split votes, keep announcing new members, measure the log

Cause: two members that stood for election together split the votes and cost a second timeout. Change: a pre-candidate gives way to a better one; an instance without membership goes on announcing itself; transfer no longer depends on set order. Module raftbench measures commits, reads, elections and restarts.

--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from toucanfold import exceptions, members, messages, raftlog
+from toucanfold import exceptions, leading, members, messages, raftlog, rafttypes
 
 NAMES = ("a", "b", "c")
 names = st.sampled_from(NAMES)
@@ -128,6 +128,16 @@
     assert fleet.nodes[away].raft.term == leader.raft.term
 
 
+def test_member_that_hears_nobody_does_not_disturb():
+    """A member cut off in one direction asks for votes again and again."""
+    fleet = simulation.Fleet(8)
+    leader = fleet.wait_leader()
+    deaf = next(name for name in NAMES if name != leader.name)
+    fleet.cut = {(other, deaf) for other in NAMES}
+    fleet.run(10)
+    assert fleet.leader() is leader and len(fleet.leaders) == 1
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_removed_member_does_not_disturb(seed):
     """A member that missed its removal must not depose the leader."""
@@ -205,6 +215,34 @@
     fleet.check_converged()
 
 
+def test_new_member_announces_itself_until_it_is_added():
+    """A new member must not wait for ever for a leader that was lost meanwhile."""
+    fleet = simulation.Fleet(6)
+    leader = fleet.wait_leader()
+    lost, other = (name for name in NAMES if name != leader.name)
+    fleet.lose_disk(lost)
+    fleet.run(1)
+    fleet.cut |= {(leader.name, other), (lost, leader.name)}
+    leader.files.crash_in = 0
+    fleet.replace(lost)
+    leader.step()
+    fleet.run(1)
+    assert not leader.is_up and not fleet.nodes[lost].raft.membership
+    # Announcements heard before are forgotten in a restart.
+    fleet.nodes[other].crash()
+    fleet.check_converged()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_lost_leader_is_replaced_without_a_split_vote(seed):
+    """Two candidates at a time must not cost a second election timeout."""
+    fleet = simulation.Fleet(seed)
+    fleet.delay = 0.0005
+    fleet.wait_leader().crash()
+    fleet.run(rafttypes.ELECTION_MAX_S + 0.15)
+    assert fleet.leader() is not None
+
+
 def test_stuck_disks_do_not_end_the_lead():
     """With full disks changes stop, but the leader must stay for reads."""
     fleet = simulation.Fleet(4)
@@ -245,3 +283,38 @@
         found = log.slice(2, len(plain) - 1, 1 << 20)
         assert [entry.term for entry in found] == plain[1:-1]
         assert log.stable <= log.last_index
+
+
+def test_entry_of_an_earlier_term_commits_only_with_a_later_one():
+    """Counting copies of an old entry would let a later leader replace it."""
+    membership = members.Membership(members.Member(name, name) for name in NAMES)
+    log = raftlog.RaftLog(raftlog.Snapshot(1, 1, membership, b""), [])
+    log.append([messages.Entry(2, 2)])
+    lead = leading.Lead("a/a", 4, log, 0.0)
+    log.append([messages.Entry(3, 4)])
+    reply = messages.Raft(sender="b/b", granted=True, match_index=2)
+    log.mark_stable(3, 4)
+    lead.on_append_reply(0.0, reply)
+    assert lead.committed(1) == 1
+    reply.match_index = 3
+    lead.on_append_reply(0.0, reply)
+    assert lead.committed(1) == 3
+
+
+def test_member_votes_once_per_term_over_a_restart():
+    """A forgotten vote would allow two leaders in one term."""
+    fleet = simulation.Fleet(7)
+    voter = fleet.nodes[fleet.wait_leader().name]
+    last = {"last_index": 1 << 20, "last_term": 1 << 20, "term": 50}
+    granted = []
+    for candidate in ("b/x", "c/y"):
+        for name in NAMES:
+            fleet.isolate(name)
+        request = messages.Raft(kind=5, sender=candidate, receiver=voter.key, **last)
+        request.granted = True
+        voter.receive(request)
+        fleet.run(0.1)
+        granted.append(voter.raft.vote)
+        voter.crash()
+        voter.start()
+    assert granted == ["b/x", "b/x"]
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,11 +1,12 @@
 """Replicas over real files and an in-process network."""
 
 import asyncio
+import time
 
 import fleet
 import helpers
 
-from toucanfold import exceptions
+from toucanfold import exceptions, storage
 
 
 def test_one_member_commits_and_restarts(tmp_path):
@@ -75,3 +76,107 @@
         await group.stop_all()
 
     helpers.run(scenario())
+
+
+def test_lost_disk_is_replaced_by_a_new_member_through_a_snapshot(tmp_path):
+    """A new member far behind must get a snapshot and become a voter."""
+
+    async def scenario():
+        group = fleet.Fleet(tmp_path, ["a", "b", "c"], entries=600)
+        group.start_all()
+        leader = await group.leader()
+        for _ in range(15):
+            await asyncio.gather(*(leader.replica.propose(b"x") for _ in range(100)))
+        await fleet.until(lambda: leader.replica.status()["snapshot_index"] > 600)
+        lost = next(name for name in group.nodes if name != leader.replica.name)
+        old_id = group.nodes[lost].store.meta.member_id
+        await group.stop(lost)
+        new = group.start(lost, joining=True, folder="new")
+        (await group.replace(lost)).unwrap()
+        await fleet.until(lambda: new.machine.items == leader.machine.items)
+
+        def is_done():
+            found = leader.replica.status()["members"]
+            voters = {item["member_id"] for item in found if item["voter"]}
+            return len(found) == len(voters) == 3 and old_id not in voters
+
+        await fleet.until(is_done)
+        assert "1 more may be lost" in leader.replica.status()["forecast"]
+        await group.stop_all()
+
+    helpers.run(scenario())
+
+
+def test_transfer_and_snapshot_keep_everything(tmp_path):
+    """A planned stop hands the lead over; a restart starts from the snapshot."""
+
+    async def scenario():
+        group = fleet.Fleet(tmp_path, ["a", "b", "c"], entries=50)
+        group.start_all()
+        leader = await group.leader()
+        for number in range(120):
+            (await leader.replica.propose(b"%d" % number)).unwrap()
+        start = asyncio.get_running_loop().time()
+        await leader.replica.transfer_leadership()
+        second = await group.leader()
+        assert second is not leader
+        assert asyncio.get_running_loop().time() - start < 0.5
+        await group.stop(leader.replica.name)
+        again = group.start(leader.replica.name)
+        assert again.store.snapshot.index >= 50
+        await fleet.until(lambda: again.machine.items == second.machine.items)
+        assert len(again.machine.items) == 120
+        await group.stop_all()
+
+    helpers.run(scenario())
+
+
+def test_full_disk_refuses_changes_and_serves_reads(tmp_path):
+    """Without space, reads must go on and changes resume when space is freed."""
+
+    async def scenario():
+        group = fleet.Fleet(tmp_path, ["a"])
+        node = group.start("a")
+        await group.leader()
+        free = node.files.free_bytes
+        type(node.files).free_bytes = lambda _: 0
+        try:
+            node.replica._is_full = node.store.is_low
+            refused = await node.replica.propose(b"x")
+            assert isinstance(refused.failure(), exceptions.DiskFullError)
+            (await node.replica.confirm_read()).unwrap()
+        finally:
+            type(node.files).free_bytes = free.__func__
+        await fleet.until(lambda: not node.replica.status()["disk_full"])
+        (await node.replica.propose(b"x")).unwrap()
+        await group.stop_all()
+
+    helpers.run(scenario())
+
+
+def test_event_loop_goes_on_during_a_slow_sync(tmp_path):
+    """A slow disk must not stop heartbeats, reads and ticks."""
+    append_now = storage.Storage.append
+
+    async def scenario():
+        group = fleet.Fleet(tmp_path, ["a", "b", "c"])
+        group.start_all()
+        leader = await group.leader()
+        storage.Storage.append = slow
+        try:
+            asyncio.create_task(leader.replica.propose(b"x"))
+            pauses = []
+            for _ in range(20):
+                start = time.perf_counter()
+                await asyncio.sleep(0.01)
+                pauses.append(time.perf_counter() - start)
+        finally:
+            storage.Storage.append = append_now
+        assert max(pauses) < 0.3 and leader.replica.is_leader
+        await group.stop_all()
+
+    def slow(store, entries):
+        time.sleep(0.4)
+        append_now(store, entries)
+
+    helpers.run(scenario())
--- a/toucanfold/election.py
+++ b/toucanfold/election.py
@@ -152,6 +152,17 @@
         )
         reply.term = message.term if reply.granted else self.term
         self._late.append(reply)
+        if reply.granted and self.role is Role.PRE_CANDIDATE:
+            self._yield_to(now, message)
+
+    def _yield_to(self, now: float, message: messages.Raft) -> None:
+        """Give way to the better of two candidates, so that they do not split votes.
+
+        Over ordered links the request arrives before the grant of the same sender.
+        """
+        own = (self.log.last_term, self.log.last_index, self.key)
+        if (message.last_term, message.last_index, message.sender) > own:
+            self._become_follower(now, self.term, "")
 
     def _on_pre_vote_reply(self, now: float, message: messages.Raft) -> None:
         is_current = message.granted and message.term == self.term + 1
--- a/toucanfold/leading.py
+++ b/toucanfold/leading.py
@@ -222,10 +222,10 @@
 
     def start_transfer(self, now: float, rng: random.Random) -> bool:
         """Choose the voter that holds most as the next leader."""
-        candidates = sorted(
-            (self._log.membership.voters & self.reachable(now)) - {self._key},
-            key=lambda key: (-self._progress[key].match, rng.random()),
-        )
+        voters = self._log.membership.voters & self.reachable(now)
+        candidates = sorted(voters - {self._key})
+        rng.shuffle(candidates)
+        candidates.sort(key=lambda key: -self._progress[key].match)
         if not candidates:
             return False
         self.transfer_to = candidates[0]
--- a/toucanfold/raft.py
+++ b/toucanfold/raft.py
@@ -78,7 +78,7 @@
 
     def on_tick(self, now: float) -> None:
         """Do what is due at this time."""
-        if self.role is Role.BLANK:
+        if not self.membership:
             self._tick_blank(now)
         elif self._lead is not None:
             self._tick_leader(now, self._lead)
@@ -237,8 +237,10 @@
         )
 
     def _tick_blank(self, now: float) -> None:
+        # A leader that was about to add this member may be lost before it could, so
+        # the announcements go on until there is a membership.
         entry = self._founder.first_entry()
-        if entry is not None:
+        if entry is not None and self.role is Role.BLANK:
             self._found(now, entry)
         elif now >= self._announce_at:
             self._announce_at = now + ANNOUNCE_S
--- /dev/null
+++ b/toucanfold/raftbench.py
@@ -0,0 +1,304 @@
+"""Measures the replicated log on this machine: ``python -m toucanfold.raftbench``."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import platform
+import random
+import shutil
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from absl import flags, logging
+from returns import result
+
+from toucanfold import cmdline, files, link, messages, replica, storage
+from toucanfold.rafttypes import Founding
+
+HOST = "127.0.0.1"
+RECONNECT_S = 0.05
+POLL_S = 0.001
+CONCURRENT = 64
+COMMAND_BYTES = 256
+NO_SNAPSHOT = 1 << 30
+
+Measured = dict[str, Any]
+
+
+class _Machine:
+    """Keeps the last value of each key, decoded from JSON as in the fleet state."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, Any] = {}
+
+    def apply(self, index: int, data: bytes) -> int:
+        fields = json.loads(data)
+        self.values[fields["key"]] = fields
+        return index
+
+    def snapshot(self) -> bytes:
+        return json.dumps(self.values).encode()
+
+    def restore(self, data: bytes) -> None:
+        self.values = json.loads(data)
+
+
+class Member:
+    """One member with its data folder, listener and links to the others."""
+
+    def __init__(self, folder: pathlib.Path, name: str, addresses: dict[str, str]):
+        self.name = name
+        self.is_silent = False
+        self.started_at = time.monotonic()
+        self._addresses = addresses
+        self._identity = link.Identity("bench", b"secret", "control", name, 1)
+        self._links: dict[str, link.Link] = {}
+        self._accepted: set[link.Link] = set()
+        self._files = files.LocalFiles(str(folder / name))
+        self.replica = replica.Replica(
+            storage.Storage(self._files, "bench", name),
+            Founding(addresses),
+            _Machine(),
+            self._send,
+            random.Random(),
+            NO_SNAPSHOT,
+        )
+        self._server: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen, connect to the others and run the replica."""
+        self._server = await link.listen(
+            self._addresses[self.name], self._identity, self
+        )
+        others = [name for name in self._addresses if name != self.name]
+        self._tasks = [asyncio.create_task(self._connect(name)) for name in others]
+        self._tasks.append(asyncio.create_task(self.replica.run()))
+
+    async def stop(self) -> None:
+        """End the member and its connections."""
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        if self._server is not None:
+            self._server.close()
+        for open_link in [*self._links.values(), *self._accepted]:
+            open_link.close("the member stops")
+        self._files.close()
+
+    def on_open(self, opened: link.Link) -> None:
+        """Keep the link, to close it when the member stops."""
+        self._accepted.add(opened)
+
+    def on_close(self, closed: link.Link, reason: str) -> None:
+        """Forget the link."""
+        self._accepted.discard(closed)
+
+    def on_message(self, source: link.Link, message: messages.Message) -> None:
+        """Hand a consensus message to the replica."""
+        is_heard = not self.is_silent and source.peer is not None
+        if is_heard and isinstance(message, messages.Raft):
+            assert source.peer is not None
+            self.replica.on_message(source.peer.name, message)
+
+    def _send(self, peer: str, message: messages.Raft) -> bool:
+        found = self._links.get(peer)
+        return not self.is_silent and found is not None and found.send(message)
+
+    async def _connect(self, peer: str) -> None:
+        while True:
+            found = self._links.get(peer)
+            if found is None or not found.is_open:
+                opened = await link.connect(self._addresses[peer], self._identity, self)
+                if isinstance(opened, result.Success):
+                    self._links[peer] = opened.unwrap()
+            await asyncio.sleep(RECONNECT_S)
+
+
+async def _leader(group: list[Member], besides: Member | None = None) -> Member:
+    """Return the member whose lead a quorum confirms."""
+    while True:
+        for member in group:
+            if member is not besides and member.replica.is_leader:
+                confirmed = await member.replica.confirm_read()
+                if isinstance(confirmed, result.Success):
+                    return member
+        await asyncio.sleep(POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def _fleet(folder: pathlib.Path, count: int, port: int) -> Any:
+    names = [f"m{number}" for number in range(1, count + 1)]
+    addresses = {name: f"{HOST}:{port + at}" for at, name in enumerate(names)}
+    group = [Member(folder, name, addresses) for name in names]
+    for member in group:
+        await member.start()
+    try:
+        yield group
+    finally:
+        for member in group:
+            await member.stop()
+
+
+def _command(number: int) -> bytes:
+    fields = {"key": f"account-{number % 500}", "number": number, "padding": ""}
+    fields["padding"] = "x" * (COMMAND_BYTES - len(json.dumps(fields)))
+    return json.dumps(fields).encode()
+
+
+def _milliseconds(seconds: list[float]) -> Measured:
+    ordered = sorted(seconds)
+    return {
+        "count": len(ordered),
+        "median_ms": round(statistics.median(ordered) * 1000, 2),
+        "p99_ms": round(ordered[int(len(ordered) * 0.99)] * 1000, 2)
+        if len(ordered) >= 100
+        else None,
+        "max_ms": round(ordered[-1] * 1000, 2),
+    }
+
+
+async def _timed(count: int, action: Callable[[int], Awaitable[Any]]) -> list[float]:
+    seconds = []
+    for number in range(count):
+        start = time.perf_counter()
+        outcome = await action(number)
+        seconds.append(time.perf_counter() - start)
+        outcome.unwrap()
+    return seconds
+
+
+def measure_sync(folder: pathlib.Path, count: int) -> Measured:
+    """Time a write of one record and its sync, without consensus."""
+    local = files.LocalFiles(str(folder / "sync"))
+    entry = messages.Entry(1, 1, 0, _command(1))
+    seconds = []
+    for _ in range(count):
+        start = time.perf_counter()
+        local.append("probe", storage.encode_record(entry))
+        local.sync("probe")
+        seconds.append(time.perf_counter() - start)
+    local.close()
+    return _milliseconds(seconds)
+
+
+async def measure_commits(folder: pathlib.Path, count: int, port: int) -> Measured:
+    """Time commits and confirmed reads on three members."""
+    async with _fleet(folder / "commits", 3, port) as group:
+        leader = await _leader(group)
+        commits = await _timed(
+            count, lambda number: leader.replica.propose(_command(number))
+        )
+        reads = await _timed(count, lambda _: leader.replica.confirm_read())
+        start = time.perf_counter()
+        cpu = time.process_time()
+        for _ in range(count // CONCURRENT + 1):
+            outcomes = await asyncio.gather(
+                *(leader.replica.propose(_command(n)) for n in range(CONCURRENT))
+            )
+            assert all(isinstance(item, result.Success) for item in outcomes)
+        done = (count // CONCURRENT + 1) * CONCURRENT
+        return {
+            "commit, one at a time": _milliseconds(commits),
+            "confirmed read, one at a time": _milliseconds(reads),
+            f"commits/s, {CONCURRENT} at a time": round(
+                done / (time.perf_counter() - start)
+            ),
+            "cpu of all members per commit then, ms": round(
+                (time.process_time() - cpu) / done * 1000, 3
+            ),
+        }
+
+
+async def measure_elections(folder: pathlib.Path, count: int, port: int) -> Measured:
+    """Time from the silent loss of the leader to a confirmed new lead."""
+    async with _fleet(folder / "elections", 3, port) as group:
+        seconds = []
+        for _ in range(count):
+            lost = await _leader(group)
+            await asyncio.sleep(random.uniform(0.5, 0.7))
+            lost.is_silent = True
+            start = time.perf_counter()
+            await _leader(group, besides=lost)
+            seconds.append(time.perf_counter() - start)
+            lost.is_silent = False
+            await asyncio.sleep(0.3)
+        return {"new confirmed leader": _milliseconds(seconds)}
+
+
+async def measure_restarts(folder: pathlib.Path, entries: int, port: int) -> Measured:
+    """Time a restart until all entries are applied again, without a snapshot."""
+    found: Measured = {}
+    for members in (1, 3):
+        place = folder / f"restart-{members}"
+        async with _fleet(place, members, port) as group:
+            leader = await _leader(group)
+            for start in range(0, entries, 100):
+                await asyncio.gather(
+                    *(leader.replica.propose(_command(start + n)) for n in range(100))
+                )
+            goal = leader.replica.applied_index
+            place_in_group = next(
+                at for at in range(members) if members == 1 or group[at] is not leader
+            )
+            old = group[place_in_group]
+            await old.stop()
+            new = Member(place, old.name, old._addresses)
+            group[place_in_group] = new
+            await new.start()
+            while new.replica.applied_index < goal:
+                await asyncio.sleep(POLL_S)
+            seconds = time.monotonic() - new.started_at
+            label = f"restart with {entries} entries, {members} member(s), ms"
+            found[label] = round(seconds * 1000, 1)
+    return found
+
+
+async def measure(folder: pathlib.Path, count: int, port: int) -> Measured:
+    """Run all measurements."""
+    found: Measured = {"sync alone": measure_sync(folder, count)}
+    found |= await measure_commits(folder, count, port)
+    found |= await measure_elections(folder, max(10, count // 50), port + 10)
+    found |= await measure_restarts(folder, 1000, port + 20)
+    return found
+
+
+def main(arguments: list[str]) -> int:
+    """Measure and print one JSON object."""
+    values = flags.FlagValues()
+    flags.DEFINE_string(
+        "folder",
+        None,
+        "Folder for the data; a temporary one if unset.",
+        flag_values=values,
+    )
+    flags.DEFINE_integer("count", 500, "Commits to time.", flag_values=values)
+    flags.DEFINE_integer("port", 24100, "First loopback port.", flag_values=values)
+    cmdline.parse(values, "raftbench", arguments, "Measures the replicated log.")
+    logging.set_verbosity(logging.ERROR)
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="raftbench-", dir=values.folder))
+    try:
+        found = asyncio.run(measure(folder, values.count, values.port))
+    finally:
+        shutil.rmtree(folder)
+    machine = {
+        "system": platform.platform(),
+        "cpus": os.cpu_count(),
+        "python": platform.python_version(),
+        "load": os.getloadavg()[0],
+        "folder": str(folder.parent),
+    }
+    print(json.dumps({"machine": machine, "measured": found}, indent=2))
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main(sys.argv[1:]))
