--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -128,12 +128,15 @@
     assert fleet.nodes[away].raft.term == leader.raft.term
 
 
-def test_member_that_hears_nobody_does_not_disturb():
-    """A member cut off in one direction asks for votes again and again."""
+@pytest.mark.parametrize("hears_other", [True, False])
+def test_member_that_does_not_hear_the_leader_does_not_disturb(hears_other):
+    """Members that hear the leader must refuse to vote for one that does not."""
     fleet = simulation.Fleet(8)
     leader = fleet.wait_leader()
     deaf = next(name for name in NAMES if name != leader.name)
-    fleet.cut = {(other, deaf) for other in NAMES}
+    fleet.cut = {
+        (name, deaf) for name in NAMES if name == leader.name or not hears_other
+    }
     fleet.run(10)
     assert fleet.leader() is leader and len(fleet.leaders) == 1
 
