Remove the forwarder that sent each call once

Cause: the daemon uses forward.Forwarder; nothing used the first stand-in any more. Change: parts.DirectForwarder is gone.

--- a/toucanfold/parts.py
+++ b/toucanfold/parts.py
@@ -1,10 +1,9 @@
 """What the call path needs of other parts of a daemon, with simple defaults."""
 
-import random
 from collections.abc import Callable
 from typing import Protocol
 
-from toucanfold import calls, dispatch, model, peers
+from toucanfold import model
 
 
 class StateSource(Protocol):
@@ -123,33 +122,3 @@
     async def spend(self, account: str) -> float:
         """Return 0."""
         return 0.0
-
-
-class DirectForwarder:
-    """Sends each call once: to the own target, else to any target that is up."""
-
-    def __init__(
-        self,
-        own_service: str,
-        source: StateSource,
-        dispatcher: dispatch.Dispatcher,
-        links: peers.Peers,
-        rng: random.Random,
-    ):
-        self._own_service = own_service
-        self._source = source
-        self._dispatcher = dispatcher
-        self._links = links
-        self._rng = rng
-
-    async def run(self, call: calls.Call) -> calls.Answer:
-        """Return the answer of one attempt."""
-        if call.service == self._own_service:
-            return await self._dispatcher.run(call)
-        targets = self._source.state.targets_of(call.service)
-        usable = [target for target in targets if target.state == "up"]
-        if not usable:
-            return calls.refuse(
-                calls.Kind.NO_TARGET, f"no target of {call.service} is up"
-            )
-        return await self._links.run(self._rng.choice(usable), call)
