--- a/toucanfold/limiter.py
+++ b/toucanfold/limiter.py
@@ -103,18 +103,20 @@
 
 @kernel.register("limiter", "gradient")
 class Gradient:
-    """Follows the ratio of the long-term own time to the present one."""
+    """Follows the ratio of the lowest smoothed own time to the present one."""
 
-    __slots__ = ("_limit", "_long", "_short")
+    __slots__ = ("_limit", "_lowest", "_previous", "_renewed_at", "_short")
 
-    LONG_WEIGHT = 1 / 600
+    # The lowest own time is that of the present and the previous period.
+    PERIOD_S = 30.0
     SHORT_WEIGHT = 1 / 20
     TOLERANCE = 1.5
     SMOOTHING = 0.02
 
     def __init__(self, initial: float = INITIAL_LIMIT):
         self._limit = initial
-        self._long = 0.0
+        self._lowest = self._previous = math.inf
+        self._renewed_at = -math.inf
         self._short = 0.0
 
     @property
@@ -128,21 +130,22 @@
     def on_finish(
         self, now: float, own_time_s: float, in_flight: int, result: FinishKind
     ) -> None:
-        """Compare the own time with the long-term one."""
+        """Compare the own time with the lowest one."""
         if result is FinishKind.SHED:
             self._limit = _bounded(self._limit * 0.98)
             return
         if result not in (FinishKind.OK, FinishKind.TIMEOUT):
             return
-        if self._long == 0.0:
-            self._long = self._short = own_time_s
-        self._long += self.LONG_WEIGHT * (own_time_s - self._long)
-        self._short += self.SHORT_WEIGHT * (own_time_s - self._short)
-        if self._long > 2 * self._short:
-            self._long *= 0.95
+        weight = self.SHORT_WEIGHT if self._short else 1.0
+        self._short += weight * (own_time_s - self._short)
+        if now - self._renewed_at > self.PERIOD_S:
+            self._renewed_at = now
+            self._previous, self._lowest = self._lowest, math.inf
+        self._lowest = min(self._lowest, self._short)
         if in_flight < USED_PART * self._limit:
             return
-        ratio = self.TOLERANCE * self._long / max(self._short, 1e-9)
+        lowest = min(self._lowest, self._previous)
+        ratio = self.TOLERANCE * lowest / max(self._short, 1e-9)
         aim = self._limit * min(1.0, max(0.5, ratio)) + math.sqrt(self._limit)
         self._limit = _bounded(self._limit + self.SMOOTHING * (aim - self._limit))
 
@@ -199,10 +202,10 @@
         "_settle_until",
     )
 
-    PROBES = (1.25, 1.0, 0.75, 1.0)
+    PROBES = (1.2, 1.0, 1.0, 0.8, 1.0, 1.0)
     HISTORY = 8
     HISTORY_S = 20.0
-    GAIN = 1.05
+    GAIN = 1.0
     STEP = 0.5
     MIN_PHASE_S = 0.1
     MAX_PHASE_S = 10.0
