Test single safety rules of the grantor

Cause: in mutation trials the state machine missed some removed rules in its 100 runs (term of presented shares, empty pools, lowered limits, losses). Change: one test for each of them. Conclusion: rules that random runs reach seldom are guarded directly.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from toucanfold import leases, limits, sharing
+from toucanfold import leases, limits, messages, sharing
 
 # Every share granted under a lowered limit's old value ends within a term, by a
 # clock that runs up to 1% slow. A new leader takes such shares over, and reduces
@@ -342,3 +342,62 @@
             naive[i] += step
             left -= step
     assert [min(d, level) for d in demands] == pytest.approx(naive, abs=1e-6)
+
+
+def lead(accounts, daemons="ab", term=1):
+    keys = dict.fromkeys([(name, 1) for name in daemons], "up")
+    state = fleetsim.state_of(accounts, keys)
+    grantor = leases.Grantor()
+    grantor.on_lead(0.0, term, state)
+    return grantor, state
+
+
+def wish(rate):
+    return [messages.Demand(ACCOUNT, rate, 2 * rate, 0.0)]
+
+
+def test_shares_presented_under_an_earlier_term_are_not_taken_over():
+    """Guards against a share that an earlier leader's late grant makes larger."""
+    grantor, _ = lead({ACCOUNT: (50.0, 50.0)}, daemons="a", term=2)
+    share = messages.Share(ACCOUNT, 5.0, 5.0, 0.0, 3)
+    assert grantor.on_ping(0.1, "a", 1, 1, wish(5.0), [share]) == []
+    assert grantor.is_recovering(0.1)
+    share.grant = 0
+    [renewed] = grantor.on_ping(0.2, "a", 1, 2, [], [share])
+    assert renewed.rate <= 5.0
+    assert not grantor.is_recovering(0.2)
+
+
+def test_pools_are_empty_after_a_recovery():
+    """Guards against tokens that appear with a new leader."""
+    grantor, _ = lead({ACCOUNT: (50.0, 50.0)}, daemons="ab")
+    grantor.on_ping(1.0, "a", 1, 1, [], [])
+    assert grantor.is_recovering(3.0)
+    assert not grantor.is_recovering(leases.HOLDER_END_S)
+    assert grantor.dump(leases.HOLDER_END_S)[ACCOUNT]["pool_tokens"] == 0
+
+
+def test_lowered_limit_holds_after_one_answer_to_each_holder():
+    """Guards against holders that together keep more than a lowered limit."""
+    grantor, state = lead({ACCOUNT: (100.0, 100.0)}, daemons="abc")
+    shares = [messages.Share(ACCOUNT, 30.0, 30.0, 0.0, 0)]
+    for name in "abc":
+        grantor.on_ping(0.1, name, 1, 1, [], shares)
+    for name, rate in (("a", 40.0), ("b", 0.1), ("c", 0.1)):
+        grantor.on_ping(0.2, name, 1, 1, wish(rate), shares)
+    state.accounts[ACCOUNT].rate, state.accounts[ACCOUNT].burst = 9.0, 30.0
+    grantor.on_state(0.3, state)
+    answers = [
+        grantor.on_ping(0.4 + index / 10, name, 1, 1, wish(90.0), shares)[0]
+        for index, name in enumerate("abc")
+    ]
+    assert sum(answer.rate for answer in answers) <= 9.0 + 1e-9
+    assert sum(answer.burst for answer in answers) <= 30.0 + 1e-9
+
+
+def test_incarnation_gets_nothing_while_its_loss_is_committed():
+    """Guards against a share that the next leader takes for ended."""
+    grantor, _ = lead({ACCOUNT: (50.0, 50.0)}, daemons="a")
+    grantor.on_ended(1.0, "a", 1)
+    assert grantor.on_ping(1.1, "a", 1, 1, wish(5.0), []) == []
+    assert grantor.on_ping(1.5, "a", 1, 1, wish(5.0), []) == []
