--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -1,6 +1,7 @@
 """Daemon's side of the watch: one link to the nearest instance that works."""
 
 import asyncio
+import random
 import secrets
 import ssl
 import time
@@ -12,6 +13,9 @@
 from toucanfold import link, messages, model, watchstate
 
 PING_S = 0.5
+# Part by which the interval varies, so that daemons which were answered together after
+# a stall do not stay in step.
+PING_SPREAD = 0.1
 # An applied change is confirmed at once, but not more often than this.
 MIN_PING_S = 0.1
 # How often the holder is asked whether it has shares to give back; a call that waits
@@ -305,7 +309,8 @@
     async def _pause(self) -> None:
         """Wait until the next ping, a wake-up or the end of the silence limit."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + PING_S - MIN_PING_S
+        interval_s = PING_S * (1 - PING_SPREAD * random.random())
+        end = loop.time() + interval_s - MIN_PING_S
         end = min(end, self._answered_at + self._silence_limit_s() + 0.001)
         while (now := loop.time()) < end and not self._wants_ping(now):
             step_s = end - now if self._holder is None else min(POLL_S, end - now)
