Do not reuse a connection that the client itself has closed

Cause: a request whose time ran out in the loop turn of its answer left its closed connection in the pool; the next request on it ended as connection_lost, although no daemon had cut it. Change: closing a connection takes it out of use at once. Conclusion: cut_requests counts only what a proxy cut.

--- a/toucanfold/plainhttp.py
+++ b/toucanfold/plainhttp.py
@@ -228,9 +228,10 @@
         return self._transport is not None and self._http.our_state is h11.IDLE
 
     def close(self) -> None:
-        """Close at once."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Close at once; the connection is not idle any more."""
+        transport, self._transport = self._transport, None
+        if transport is not None:
+            transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
