--- a/toucanfold/capacity.py
+++ b/toucanfold/capacity.py
@@ -49,8 +49,7 @@
     done = subprocess.run(
         command,
         stdin=subprocess.DEVNULL,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
+        capture_output=True,
         timeout=RUN_LIMIT_S,
         check=False,
     )
