Run the demo as a test

Cause: nothing in the tests ran daemons, control and targets together as processes. Change: a test runs the demo and checks its steps and exit status. Conclusion: a change that breaks the whole is found by the tests.

--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,15 @@
+import subprocess
+import sys
+
+
+def test_demo_shows_every_step_and_stops_cleanly():
+    """The parts work alone; this guards that real processes work together."""
+    done = subprocess.run(
+        [sys.executable, "-m", "toucanfold", "demo"],
+        capture_output=True,
+        text=True,
+        timeout=55,
+    )
+    assert done.returncode == 0, done.stderr
+    for text in ("recorded answer", "conflict", "refused", "stopped as planned"):
+        assert text in done.stdout
