Apply the concurrency limit to calls that do not wait for other services

Cause: the limiter learns the limit from the target's own time, but calls that waited for nested calls counted against it. Change: a call that waits for a nested call leaves its place; the pool of connections bounds the whole. The expected wait uses the target's own time.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -216,3 +216,29 @@
             await asyncio.sleep(0.005)
 
     with_bench(test, limit=limit)
+
+
+def test_calls_that_wait_for_other_services_leave_their_place():
+    """Guards against a target that idles because its calls wait for a slow callee."""
+
+    async def scenario():
+        async with fleetparts.Fleet(None) as fleet:
+            bench = Bench(limit=1)
+            dispatcher = await bench.start(fleet)
+            loop = asyncio.get_running_loop()
+            first = asyncio.ensure_future(dispatcher.run(make_call(path="/1")))
+            second = asyncio.ensure_future(dispatcher.run(make_call(path="/2")))
+            await helpers.eventually(lambda: bench.order == ["/1"])
+            token = next(iter(dispatcher.tokens._tokens.values()))
+            token.child_started(loop.time())
+            await helpers.eventually(lambda: bench.order == ["/1", "/2"])
+            assert (dispatcher.in_flight, dispatcher.active) == (2, 1)
+            token.child_ended(loop.time(), 0, 0)
+            assert dispatcher.active == 2
+            for running in list(bench.running.values()):
+                running.set()
+            answers = await asyncio.gather(first, second)
+            assert [answer.status for answer in answers] == [200, 200]
+            assert (dispatcher.in_flight, dispatcher.active) == (0, 0)
+
+    helpers.run(scenario())
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -4,7 +4,7 @@
 import enum
 import hashlib
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 PRIORITY_LEVELS = 128
 MAX_LEVEL = 4 * PRIORITY_LEVELS
@@ -210,11 +210,13 @@
         "call",
         "child_seconds",
         "child_since",
+        "table",
         "text",
     )
 
-    def __init__(self, text: str, call: Call):
+    def __init__(self, text: str, call: Call, table: "TokenTable"):
         self.text = text
+        self.table = table
         self.call = call
         self.attempts_left = call.attempts_left
         self.attempts_spent = 0
@@ -229,15 +231,17 @@
 
     def child_started(self, now: float) -> None:
         """Count a child call, to exclude its time from the target's own time."""
-        if self.active_children == 0:
-            self.child_since = now
         self.active_children += 1
+        if self.active_children == 1:
+            self.child_since = now
+            self.table.on_wait(self, 1)
 
     def child_ended(self, now: float, reserved: int, spent: int) -> None:
         """Return what the child call did not spend."""
         self.active_children -= 1
         if self.active_children == 0:
             self.child_seconds += now - self.child_since
+            self.table.on_wait(self, -1)
         spent = min(spent, reserved)
         self.attempts_left += reserved - spent
         self.attempts_spent += spent
@@ -251,9 +255,13 @@
 class TokenTable:
     """Tokens of the calls that run at this daemon's target."""
 
-    __slots__ = ("_tokens",)
+    __slots__ = ("_tokens", "on_change", "waiting")
 
     def __init__(self) -> None:
+        # Number of calls that wait for child calls.
+        self.waiting = 0
+        # Called when a call begins to wait, which lets the target run another one.
+        self.on_change: Callable[[], None] | None = None
         self._tokens: dict[str, CallToken] = {}
 
     def __len__(self) -> int:
@@ -261,7 +269,7 @@
 
     def mint(self, call: Call) -> CallToken:
         """Create the token of a call which is about to be dispatched."""
-        token = CallToken(secrets.token_urlsafe(24), call)
+        token = CallToken(secrets.token_urlsafe(24), call, self)
         self._tokens[token.text] = token
         return token
 
@@ -271,4 +279,15 @@
 
     def end(self, token: CallToken) -> None:
         """End a token together with its call."""
-        self._tokens.pop(token.text, None)
+        if self._tokens.pop(token.text, None) is None:
+            return
+        if token.active_children:
+            self.waiting -= 1
+
+    def on_wait(self, token: CallToken, change: int) -> None:
+        """Count that a call began or ended to wait, if it has not ended itself."""
+        if token.text not in self._tokens:
+            return
+        self.waiting += change
+        if change > 0 and self.on_change is not None:
+            self.on_change()
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -63,14 +63,26 @@
         self._loop = asyncio.get_running_loop()
         self._ids = itertools.count(1)
         self._waiting: dict[int | str, asyncio.Future[calls.Kind | None]] = {}
+        # Smoothed times of calls: whole, and without waits for other services.
         self._service_time_s = 0.0
+        self._own_time_s = 0.0
         self._window: asyncio.TimerHandle | None = None
+        tokens.on_change = self._on_token_change
 
     @property
     def limit(self) -> int:
         """Most calls that may run at the target now."""
         return self._limiter.limit
 
+    @property
+    def active(self) -> int:
+        """Calls on which the target works itself, not waiting for other services.
+
+        The limit applies to these: the limiter learns it from the target's own time,
+        so counting calls that wait for a slow callee would starve the target.
+        """
+        return self.in_flight - self.tokens.waiting
+
     @property
     def queued(self) -> int:
         """Calls that wait for dispatch."""
@@ -168,7 +180,7 @@
 
     def _pump(self, now: float) -> None:
         """Give free places to waiting calls."""
-        while self.in_flight < self._limiter.limit and len(self._queue):
+        while self._has_place() and len(self._queue):
             ticket, refused = self._queue.take(now, self._service_time_s)
             self._refuse(refused)
             if ticket is None:
@@ -179,15 +191,19 @@
             self.in_flight += 1
             granted.set_result(None)
 
+    def _has_place(self) -> bool:
+        is_connected = self.in_flight < self.pool.limit
+        return is_connected and self.active < self._limiter.limit
+
     def _expected_wait_s(self) -> float:
-        if self.in_flight < self._limiter.limit and not len(self._queue):
+        if self._has_place() and not len(self._queue):
             return 0.0
-        return (len(self._queue) + 1) * self._service_time_s / max(1, self.limit)
+        return (len(self._queue) + 1) * self._own_time_s / max(1, self.limit)
 
     async def _dispatch(self, call: calls.Call, started_at: float) -> calls.Answer:
         token = self.tokens.mint(call)
         running = _Running(token, started_at)
-        self._limiter.on_start(started_at, self.in_flight)
+        self._limiter.on_start(started_at, self.active)
         try:
             running.timer = self._loop.call_at(call.deadline, self._on_late, running)
             answer, kind = await self._exchange(call, running)
@@ -294,7 +310,8 @@
         if kind == limiter.FinishKind.OK:
             took = now - running.started_at
             self._service_time_s += SERVICE_TIME_GAIN * (took - self._service_time_s)
-        self._limiter.on_finish(now, own_time_s, self.in_flight, kind)
+            self._own_time_s += SERVICE_TIME_GAIN * (own_time_s - self._own_time_s)
+        self._limiter.on_finish(now, own_time_s, self.active, kind)
         self.in_flight -= 1
         self.tokens.end(running.token)
         if kind not in (limiter.FinishKind.OK, limiter.FinishKind.SHED):
@@ -312,9 +329,12 @@
         )
         answer.attempts_spent = 0 if token is None else token.attempts_spent
         answer.limit = self.limit
-        answer.in_flight = self.in_flight + len(self._queue)
+        answer.in_flight = self.active + len(self._queue)
         return answer
 
+    def _on_token_change(self) -> None:
+        self._pump(self._loop.time())
+
     def _on_window(self) -> None:
         now = self._loop.time()
         self.level = self._queue.on_window(now)
