--- a/toucanfold/deployments.py
+++ b/toucanfold/deployments.py
@@ -21,7 +21,7 @@
 NOISY_ACCOUNT = "account3"
 NOISY_RATE_FACTOR = 1.25
 MIN_BURST = 48.0
-DEADLINE_MS = 1500
+DEADLINE_MS = 3000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -152,10 +152,10 @@
 PENDULUM = Deployment(
     "pendulum",
     (
-        Service("tickets", 10, 200),
-        Service("parts", 10, 80),
-        Service("payments", 10, 150),
-        Service("scheduling", 2, 200),
+        Service("tickets", 10, 400),
+        Service("parts", 10, 160),
+        Service("payments", 10, 300),
+        Service("scheduling", 2, 400),
     ),
     _kinds(
         ("ticket-lookup", "part-lookup", "shop-view", "booking", "deposit"),
@@ -171,10 +171,10 @@
 SETUBHAR = Deployment(
     "setubhar",
     (
-        Service("permits", 9, 200),
-        Service("route-checks", 9, 80),
-        Service("vehicles", 9, 150),
-        Service("fees", 2, 200),
+        Service("permits", 9, 400),
+        Service("route-checks", 9, 160),
+        Service("vehicles", 9, 300),
+        Service("fees", 2, 400),
     ),
     _kinds(
         ("permit-lookup", "route-check", "permit-view", "fee", "permit-issue"),
