Do not wait at a drain for a backup that cannot exist

Cause: with two daemons of a service, the one that stops stays the backup of the other's slots, since their owner cannot back them up. It waited the whole drain_timeout (60 s) for another backup. Change: a backup role counts only if a third daemon could take it. Conclusion: the new test fails without the change.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -7,8 +7,9 @@
 
 import fleetparts
 import helpers
+import pytest
 
-from toucanfold import httpserver, link
+from toucanfold import httpserver, link, model
 
 
 def scenario(test):
@@ -221,6 +222,22 @@
         assert results["ok"] == len(target.requests)
 
 
+@scenario
+async def test_drain_does_not_wait_for_a_backup_that_cannot_exist():
+    """Guards against a stop of one of two daemons that takes the whole timeout."""
+    state = fleetparts.fleet_state(("shop",))
+    async with fleetparts.Fleet(state) as fleet:
+        address = await fleet.target(fleetparts.Recorder())
+        for name in ("a", "b"):
+            await fleet.daemon(name, "shop", address)
+        a, b = (state.targets[name].incarnation for name in ("a", "b"))
+        state.slots["shop", 0] = model.Slot("shop", 0, 1, "b", b, "a", a)
+        await asyncio.wait_for(fleet.daemons["a"].drain(), 5)
+        await fleet.daemon("c", "shop", address)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(fleet.daemons["a"].drain(), 2)
+
+
 def test_process_ends_after_sigterm_without_control(tmp_path):
     """Guards against a stop that waits for a control which cannot be reached."""
     settings = fleetparts.make_settings(
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -233,14 +233,19 @@
         if not self.source.is_fresh(asyncio.get_running_loop().time()):
             # Control cannot be reached, so nothing can be handed over.
             return False
-        if not any(
-            target.state == "up" and target.name != name
+        others = {
+            target.name
             for target in state.targets_of(self.service)
-        ):
-            return False
+            if target.state == "up" and target.name != name
+        }
+        me = (name, incarnation)
+        # The owner of a slot cannot back it up, so a backup needs a third daemon.
         return any(
-            (slot.owner, slot.owner_incarnation) == (name, incarnation)
-            or (slot.backup, slot.backup_incarnation) == (name, incarnation)
+            (bool(others) and (slot.owner, slot.owner_incarnation) == me)
+            or (
+                bool(others - {slot.owner})
+                and (slot.backup, slot.backup_incarnation) == me
+            )
             for slot in state.slots.values()
         )
 
