--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -147,6 +147,11 @@
         """Key of the levels learnt from answers: the route and the account."""
         return f"{self.route}\0{self.account}"
 
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the owner of a slot records the call and answers its resends."""
+        return not self.idempotent and bool(self.idempotency_key)
+
     @property
     def is_replayable(self) -> bool:
         """Whether the whole body is at hand for another attempt."""
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -111,6 +111,8 @@
             self._get("region_budget"),
             self.rng,
         )
+        # Spent by this daemon's own retries and by its callers' resends.
+        self.budgets = retries.Budgets()
         self.sender = self._make_sender()
         self.owner = owner.Owner(
             identity.name, identity.incarnation, self.sender, self.peers
@@ -288,7 +290,7 @@
         return forward.Sender(
             self._identity.name,
             self.router,
-            retries.Budgets(),
+            self.budgets,
             self.dispatcher,
             self.peers,
             lambda: self.source.state,
@@ -303,6 +305,7 @@
             self.rng,
             levels=pressure.LearntLevels(),
             rate=self._rate,
+            budgets=self.budgets,
             serve_open_when_stale=self._get("serve_open_when_stale"),
         )
 
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -15,12 +15,16 @@
     parts,
     pressure,
     replies,
+    resends,
+    retries,
 )
 
 # Account under which open routes run when the request has no valid key.
 OPEN_ACCOUNT = "open"
 BEARER = b"bearer "
 MAX_IDEMPOTENCY_KEY_BYTES = 255
+# The retry budget refills with the successes of other calls, so no exact time is known.
+BUDGET_RETRY_MS = 1000
 
 
 class Admitted:
@@ -61,6 +65,7 @@
         rng: random.Random,
         levels: pressure.LearntLevels | None = None,
         rate: parts.Rate | None = None,
+        budgets: retries.Budgets | None = None,
         serve_open_when_stale: bool = False,
     ):
         self.running = 0
@@ -72,6 +77,8 @@
         self._rng = rng
         self._levels = levels or pressure.LearntLevels()
         self._rate = rate or parts.NoRate()
+        self._budgets = budgets or retries.Budgets()
+        self._resends = resends.Resends()
         self._serve_open_when_stale = serve_open_when_stale
         self._loop = asyncio.get_running_loop()
 
@@ -164,6 +171,15 @@
         if headers.has_key(request.body):
             return calls.refuse(calls.Kind.BAD_REQUEST, "the body holds a key")
         call = _to_call(request, admitted)
+        attempt = read_attempt(request.headers)
+        answer = await self._run_within_bounds(call, attempt, admitted.account)
+        self._resends.on_answer(self._loop.time(), call, answer)
+        return answer
+
+    async def _run_within_bounds(
+        self, call: calls.Call, attempt: int, account: model.Account | None
+    ) -> calls.Answer:
+        """Run a call unless pressure, retry budget or rate refuse it."""
         key = call.pressure_key
         now = self._loop.time()
         if not self._levels.admits(now, key, call.level, self._rng):
@@ -171,13 +187,23 @@
             return calls.refuse(
                 calls.Kind.OVERLOADED, "a service of this route is overloaded"
             )
-        if admitted.account is not None:
-            wait_s = await self._rate.spend(admitted.account.name)
+        is_resend = not call.is_recorded and self._resends.is_resend(now, call, attempt)
+        if is_resend and not self._budgets.take(now, call.service):
+            bodies.drop(call.body_stream)
+            return calls.refuse(
+                calls.Kind.RETRIES_EXHAUSTED,
+                f"too many resends to {call.service}",
+                retry_after_ms=BUDGET_RETRY_MS,
+            )
+        if account is not None:
+            wait_s = await self._rate.spend(account.name)
             if wait_s > 0:
+                if is_resend:
+                    self._budgets.give_back(call.service)
                 bodies.drop(call.body_stream)
                 return calls.refuse(
                     calls.Kind.RATE_EXCEEDED,
-                    f"client account {admitted.account_name} exceeds its rate",
+                    f"client account {account.name} exceeds its rate",
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
@@ -231,6 +257,12 @@
     return int(text)
 
 
+def read_attempt(fields: calls.Headers) -> int:
+    """Return how often the caller says it sent the request before; 0 if unclear."""
+    text = headers.find(fields, b"toucanfold-attempt") or b""
+    return int(text) if text.isdigit() and len(text) <= 9 else 0
+
+
 def guarded(request: httpserver.Request) -> keyguard.KeyGuard | None:
     """Return the stream of a request's body without keys, None if it is whole."""
     stream = request.body_stream
--- a/toucanfold/forward.py
+++ b/toucanfold/forward.py
@@ -210,9 +210,9 @@
 
     async def run(self, call: calls.Call) -> calls.Answer:
         """Run a call of a caller or of the own target."""
-        if call.idempotent or not call.idempotency_key:
-            return await self._sender.run(call)
-        return await self._run_owned(call)
+        if call.is_recorded:
+            return await self._run_owned(call)
+        return await self._sender.run(call)
 
     async def _run_owned(self, call: calls.Call) -> calls.Answer:
         """Send the call to its owner, again if that is safe and may help.
