--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -111,6 +111,8 @@
             self._get("region_budget"),
             self.rng,
         )
+        # Spent by this daemon's own retries and by its callers' resends.
+        self.budgets = retries.Budgets()
         self.sender = self._make_sender()
         self.owner = owner.Owner(
             identity.name, identity.incarnation, self.sender, self.peers
@@ -233,14 +235,19 @@
         if not self.source.is_fresh(asyncio.get_running_loop().time()):
             # Control cannot be reached, so nothing can be handed over.
             return False
-        if not any(
-            target.state == "up" and target.name != name
+        others = {
+            target.name
             for target in state.targets_of(self.service)
-        ):
-            return False
+            if target.state == "up" and target.name != name
+        }
+        me = (name, incarnation)
+        # The owner of a slot cannot back it up, so a backup needs a third daemon.
         return any(
-            (slot.owner, slot.owner_incarnation) == (name, incarnation)
-            or (slot.backup, slot.backup_incarnation) == (name, incarnation)
+            (bool(others) and (slot.owner, slot.owner_incarnation) == me)
+            or (
+                bool(others - {slot.owner})
+                and (slot.backup, slot.backup_incarnation) == me
+            )
             for slot in state.slots.values()
         )
 
@@ -283,7 +290,7 @@
         return forward.Sender(
             self._identity.name,
             self.router,
-            retries.Budgets(),
+            self.budgets,
             self.dispatcher,
             self.peers,
             lambda: self.source.state,
@@ -298,6 +305,7 @@
             self.rng,
             levels=pressure.LearntLevels(),
             rate=self._rate,
+            budgets=self.budgets,
             serve_open_when_stale=self._get("serve_open_when_stale"),
         )
 
