--- a/toucanfold/capacity.py
+++ b/toucanfold/capacity.py
@@ -3,15 +3,23 @@
 import json
 import subprocess
 import sys
+import time
+import tracemalloc
+import zlib
 from collections.abc import Callable
 from typing import Any
 
 import numpy as np
 
+from toucanfold import model
+
 # The measuring module sends three kinds of calls, each at this rate.
 RATES = (50, 100, 215)
 WATCHERS = (24, 96, 240)
 SECONDS = 5
+TARGETS = (100, 400, 1300)
+TARGETS_PER_SERVICE = 11
+ROUTES_PER_SERVICE = 5
 RUN_LIMIT_S = 120.0
 CONTROL_MEASURES = (
     "core_share_of_busiest_control",
@@ -89,12 +97,51 @@
     return points
 
 
+def state_points() -> Points:
+    """Measure the fleet state that each process keeps, at rising numbers of targets."""
+    points: Points = {}
+    for count in TARGETS:
+        tracemalloc.start()
+        state = _plain_state(count)
+        memory, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        started_at = time.perf_counter()
+        snapshot = zlib.compress(json.dumps(state.to_json()).encode(), 1)
+        seconds = time.perf_counter() - started_at
+        points.setdefault("state_memory_mb", []).append((count, memory / 1e6))
+        points.setdefault("watch_snapshot_mb", []).append((count, len(snapshot) / 1e6))
+        points.setdefault("watch_snapshot_s", []).append((count, seconds))
+    return points
+
+
+def _plain_state(targets: int) -> model.FleetState:
+    """Return a state with 11 targets a service, 64 slots and 5 routes each."""
+    state = model.FleetState()
+    services = max(1, targets // TARGETS_PER_SERVICE)
+    for number in range(targets):
+        service = f"service-{number % services}"
+        name = f"{service}-{number}"
+        address = f"127.0.{number // 250}.{number % 250}:7203"
+        state.targets[name] = model.Target(
+            name, 1 << 60 | number, service, "region-1", "centre-1", address
+        )
+    for service in {target.service for target in state.targets.values()}:
+        for number in range(model.SLOTS_PER_SERVICE):
+            slot = model.Slot(service, number, 1, service, 1 << 60, service, 1 << 60)
+            state.slots[service, number] = slot
+        for number in range(ROUTES_PER_SERVICE):
+            name = f"{service}-{number}"
+            state.routes[name] = model.Route(name, service, "profile")
+    return state
+
+
 def run(progress: Callable[[str], None]) -> list[str]:
     """Print a JSON line for each measure; return what could not be measured."""
     problems = []
     for role, driver, measure in (
         ("daemon", "calls/s of each kind", daemon_points),
         ("control", "watchers", control_points),
+        ("state", "targets", state_points),
     ):
         progress(f"capacity: {role}")
         try:
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -172,7 +172,9 @@
         limit_s = self._get("drain_timeout")
         await asyncio.sleep(min(DRAIN_NOTICE_S, limit_s))
         if not await _wait_until(self._is_empty, limit_s):
-            logging.warning("the drain timeout ended with %d calls running", self.running)
+            logging.warning(
+                "the drain timeout ended with %d calls running", self.running
+            )
         self.callers.close_idle()
         await _wait_until(lambda: not len(self.callers), FLUSH_LIMIT_S)
         await self.source.leave()
