--- a/toucanfold/naive.py
+++ b/toucanfold/naive.py
@@ -9,7 +9,7 @@
 
 from toucanfold import cmdline, plainhttp
 
-TIMEOUT_S = 1.0
+TIMEOUT_S = 2.0
 RETRIES = 3
 _REMOVED = frozenset(
     (b"authorization", b"connection", b"content-length", b"transfer-encoding")
