--- a/toucanfold/scenarios.py
+++ b/toucanfold/scenarios.py
@@ -42,7 +42,7 @@
 
 
 def _surge(deployment: deployments.Deployment, name: str, demand: float, quick: bool):
-    start_s, end_s, duration_s = (0.3, 2.3, 3.3) if quick else (0.8, 4.0, 6.0)
+    start_s, end_s, duration_s = (0.3, 3.3, 4.3) if quick else (0.8, 4.0, 6.0)
     factor = deployment.surge_factor(demand)
     phases = tuple(
         loadgen.Phase(start_s, end_s, factor, account.name)
