--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,7 @@
 import hypothesis
 from returns import result
 
-from toucanfold import config, exceptions, kernel, link, members, messages, watch
+from toucanfold import clock, config, exceptions, kernel, link, members, messages, watch
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=60, print_blob=True
@@ -27,7 +27,7 @@
 
 def run(coroutine: Coroutine[Any, Any, Any], timeout_s: float = 20) -> Any:
     """Run a coroutine in a new event loop within a time limit."""
-    return asyncio.run(asyncio.wait_for(coroutine, timeout_s))
+    return clock.run(asyncio.wait_for(coroutine, timeout_s))
 
 
 def free_address() -> str:
@@ -80,6 +80,18 @@
     async def transfer_leadership(self):
         pass
 
+    def membership(self):
+        return members.Membership()
+
+    def waiting(self):
+        return {}
+
+    def note_waiting(self, name, member_id, address):
+        pass
+
+    def reachable(self):
+        return set()
+
     def status(self):
         return {"name": self.name, "leader": self.leader, "members": []}
 
--- a/toucanfold/adminapi.py
+++ b/toucanfold/adminapi.py
@@ -132,10 +132,7 @@
         checked = commands.check(command)
         if isinstance(checked, result.Failure):
             return _error(checked.failure())
-        text = commands.encode(checked.unwrap()).decode()
-        answered = await self._cluster.request(
-            "command", {"command": text}, REQUEST_LIMIT_S
-        )
+        answered = await self._cluster.submit(checked.unwrap(), REQUEST_LIMIT_S)
         if isinstance(answered, result.Failure):
             return _error(answered.failure())
         outcome = answered.unwrap()["outcome"]
--- a/toucanfold/bodies.py
+++ b/toucanfold/bodies.py
@@ -13,6 +13,13 @@
 WINDOW_BYTES = 256 << 10
 
 
+async def whole(body: bytes, stream: AsyncIterator[bytes] | None) -> bytes:
+    """Return a body that may still arrive; BodyAbortedError if it breaks off."""
+    if stream is None:
+        return body
+    return b"".join([part async for part in stream])
+
+
 class BodyStream:
     """Parts of one body: a producer puts them and one consumer iterates.
 
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -205,6 +205,12 @@
     return int.from_bytes(digest, "big") % PRIORITY_LEVELS
 
 
+def fraction_of(root_id: str) -> float:
+    """Return a number from 0 to 1 that is spread evenly over root requests."""
+    digest = hashlib.blake2b(root_id.encode(), digest_size=8, person=b"split").digest()
+    return int.from_bytes(digest, "big") / 2**64
+
+
 class CallToken:
     """What a daemon knows about a dispatched call when its target calls on."""
 
--- a/toucanfold/cluster.py
+++ b/toucanfold/cluster.py
@@ -1,6 +1,7 @@
 """Links between control instances, and requests that reach the leader."""
 
 import asyncio
+import base64
 import itertools
 import json
 import ssl
@@ -9,7 +10,15 @@
 from absl import logging
 from returns import result
 
-from toucanfold import exceptions, leaderparts, leadership, link, messages, store
+from toucanfold import (
+    commands,
+    exceptions,
+    leaderparts,
+    leadership,
+    link,
+    messages,
+    store,
+)
 
 RECONNECT_S = 0.2
 # The member with the larger name opens a link only if the other does not, for
@@ -53,6 +62,24 @@
         """Names of the members with an open link."""
         return sorted(self._links)
 
+    def where(self, name: str) -> tuple[str, str]:
+        """Return region and data centre of a member, empty while not linked."""
+        if name == self._identity.name:
+            return self._identity.region, self._identity.data_centre
+        opened = self._links.get(name)
+        if opened is None or opened.peer is None:
+            return "", ""
+        return opened.peer.region, opened.peer.data_centre
+
+    def instances(self) -> list[messages.Instance]:
+        """Return the members of control and where they are."""
+        if self._replica is None:
+            return []
+        return [
+            messages.Instance(member.address, *self.where(member.name))
+            for member in self._replica.membership().members
+        ]
+
     def attach(
         self, replica: leaderparts.Replica, leader: leadership.Leadership
     ) -> None:
@@ -109,6 +136,11 @@
                 return answered
             await asyncio.sleep(RETRY_S)
 
+    async def submit(self, command: commands.Command, limit_s: float) -> Reply:
+        """Have the leader commit a command that has an operation id."""
+        text = base64.b64encode(commands.encode(command)).decode()
+        return await self.request("command", {"command": text}, limit_s)
+
     async def caught_up(self, revision: int) -> bool:
         """Wait until a confirmed revision is applied here; False after 0.4 s."""
         try:
--- a/toucanfold/commands.py
+++ b/toucanfold/commands.py
@@ -135,6 +135,23 @@
     incarnation: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class ReplaceConfiguration(Command):
+    """Replaces profiles, routes, accounts, keys, services and limits as a whole.
+
+    It applies on top of the version `base` only. Its content is its identity: the same
+    document sent again has the same operation id. The document is the operator's text,
+    kept to be read back as it was sent; tables holds the entities read from it by
+    table.
+    """
+
+    version: int = 0
+    base: int = 0
+    digest: str = ""
+    document: str = ""
+    tables: dict[str, list[dict[str, Any]]] = dataclasses.field(default_factory=dict)
+
+
 KINDS: dict[str, type[Command]] = {
     cls.__name__: cls
     for cls in (
@@ -150,22 +167,24 @@
         SetTargetState,
         AssignSlots,
         ConfirmEnded,
+        ReplaceConfiguration,
     )
 }
 
 
 def encode(command: Command) -> bytes:
-    """Return the JSON encoding of a command."""
+    """Return the JSON encoding of a command, compressed when it is long."""
     fields = {"kind": type(command).__name__}
     for field in dataclasses.fields(command):
         fields[field.name] = getattr(command, field.name)
-    return json.dumps(fields, separators=(",", ":"), sort_keys=True).encode()
+    text = json.dumps(fields, separators=(",", ":"), sort_keys=True)
+    return model.pack(text.encode())
 
 
 def decode(data: bytes) -> result.Result[Command, exceptions.ValidationError]:
     """Decode a command; a failure names what does not fit."""
     try:
-        fields = json.loads(data)
+        fields = json.loads(model.unpack(data))
         return result.Success(KINDS[fields.pop("kind")](**fields))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return result.Failure(
--- a/toucanfold/config.py
+++ b/toucanfold/config.py
@@ -40,11 +40,26 @@
     Option("daemon", "data_centre", "name", "Data centre of this instance."),
     Option("daemon", "secret_file", "path", "File with the fleet secret."),
     Option("daemon", "caller_listen", "address", "HTTP listener for callers."),
-    Option("daemon", "egress_listen", "address", "HTTP listener for the target."),
+    Option(
+        "daemon",
+        "egress_listen",
+        "optional_address",
+        "HTTP listener for the target; none when empty.",
+        default="",
+    ),
     Option("daemon", "link_listen", "address", "Listener for links of daemons."),
     Option("daemon", "debug_listen", "address", "HTTP listener for state dumps."),
     Option("daemon", "target_address", "address", "HTTP address of the target."),
     Option("daemon", "control", "addresses", "Links of control, nearest first."),
+    Option(
+        "daemon",
+        "control_port",
+        "int",
+        "Port of control's links, if not that of its addresses; 0 for theirs.",
+        default="0",
+        low=0,
+        high=65535,
+    ),
     Option(
         "daemon",
         "link_advertise",
@@ -152,6 +167,49 @@
         low=1,
         high=3600,
     ),
+    Option(
+        "daemon",
+        "drain_serve",
+        "float",
+        "Time in which a planned stop still serves new requests of callers.",
+        default="0",
+        unit="s",
+        low=0,
+        high=3600,
+    ),
+    Option(
+        "daemon",
+        "ready_listen",
+        "optional_address",
+        "HTTP listener that tells whether callers should come; none when empty.",
+        default="",
+    ),
+    Option(
+        "daemon",
+        "announce_listen",
+        "optional_address",
+        "HTTP listener for the target's announcements; none when empty.",
+        default="",
+    ),
+    Option(
+        "daemon",
+        "repeat_part",
+        "float",
+        "Bound of repeated calls, as a part of a service's calls; 0 for none.",
+        default="0",
+        low=0,
+        high=1,
+    ),
+    Option(
+        "daemon",
+        "repeat_calls",
+        "float",
+        "Repeated calls to a service that the bound allows besides that part.",
+        default="0",
+        unit="calls",
+        low=0,
+        high=1_000_000,
+    ),
     Option(
         "daemon",
         "serve_open_when_stale",
@@ -166,13 +224,89 @@
     Option("control", "secret_file", "path", "File with the fleet secret."),
     Option("control", "listen", "address", "Listener for links."),
     Option("control", "admin_listen", "address", "HTTP listener for operators."),
-    Option("control", "admin_file", "path", "File with operators' credentials."),
+    Option(
+        "control",
+        "platform_listen",
+        "optional_address",
+        "HTTP listener for a platform's own interface; none when empty.",
+        default="",
+    ),
+    Option(
+        "control",
+        "admin_file",
+        "path",
+        "File with operators' credentials; nobody is admitted without one.",
+        default="",
+    ),
     Option("control", "data_folder", "path", "Folder of the durable state."),
     Option(
         "control",
         "members",
         "members",
         "All members as name=address, when the fleet is first started.",
+        default="",
+    ),
+    Option(
+        "control",
+        "rate_window",
+        "float",
+        "Span in which calls above a client account's rate are counted.",
+        default="5",
+        unit="s",
+        low=0,
+        high=3600,
+    ),
+    Option(
+        "control",
+        "rate_overage",
+        "float",
+        "Part by which a client account may exceed its rate and burst in that span.",
+        default="0",
+        low=0,
+        high=10,
+    ),
+    Option(
+        "control",
+        "rate_overage_calls",
+        "float",
+        "Calls by which a client account may exceed that part.",
+        default="0",
+        unit="calls",
+        low=0,
+        high=1_000_000,
+    ),
+    Option(
+        "control",
+        "seeds",
+        "optional_addresses",
+        "Some instances, named by host, which found the fleet or admit this one.",
+        default="",
+    ),
+    Option(
+        "control",
+        "seed_port",
+        "int",
+        "Port of the seeds' links, if not that of their addresses; 0 for theirs.",
+        default="0",
+        low=0,
+        high=65535,
+    ),
+    Option(
+        "control",
+        "tolerated_losses",
+        "int",
+        "Disks that may be lost at once; sets the number of voters, 0 leaves it.",
+        default="0",
+        unit="disks",
+        low=0,
+        high=3,
+    ),
+    Option(
+        "control",
+        "plan_slots",
+        "bool",
+        "Whether to keep slots for recorded calls.",
+        default="yes",
     ),
     Option(
         "control",
@@ -249,6 +383,13 @@
     return addresses
 
 
+def with_port(addresses: list[str], port: int) -> list[str]:
+    """Return addresses with another port; 0 leaves them as they are."""
+    if not port:
+        return addresses
+    return [f"{address.rpartition(':')[0]}:{port}" for address in addresses]
+
+
 def _parse_members(text: str) -> dict[str, str]:
     members = {}
     for part in text.replace(",", " ").split():
@@ -273,7 +414,8 @@
     "address": _parse_address,
     "optional_address": lambda text: _parse_address(text) if text else "",
     "addresses": _parse_addresses,
-    "members": _parse_members,
+    "optional_addresses": lambda text: _parse_addresses(text) if text else [],
+    "members": lambda text: _parse_members(text) if text else {},
     "path": str,
     "int": int,
     "float": float,
--- /dev/null
+++ b/toucanfold/configuration.py
@@ -0,0 +1,100 @@
+"""A whole configuration: its entities, and what must hold between them."""
+
+import hashlib
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from returns import result
+
+from toucanfold import commands, exceptions, model
+
+Read = result.Result[commands.ReplaceConfiguration, exceptions.ValidationError]
+REMEDY = "correct the configuration and send it again"
+
+
+def digest_of(content: Any) -> str:
+    """Return the digest of a configuration's JSON, however it is written."""
+    text = json.dumps(content, sort_keys=True, separators=(",", ":"))
+    return hashlib.blake2b(text.encode(), digest_size=20).hexdigest()
+
+
+def command(
+    version: int, base: int, content: Any, document: str, items: list[model.Entity]
+) -> Read:
+    """Return the command that puts the entities in force, or what is wrong.
+
+    Content is the document's JSON. Items are checked entities of a configuration.
+    """
+    if version <= 0:
+        return invalid("the version must be above 0")
+    digest = digest_of(content)
+    for item in items:
+        if isinstance(item, model.Configuration):
+            item.version, item.digest = version, digest
+    problem = _problem(items)
+    if problem:
+        return invalid(problem)
+    tables: dict[str, list[dict[str, Any]]] = {}
+    for item in items:
+        tables.setdefault(_TABLES[type(item)], []).append(item.to_json())
+    return result.Success(
+        commands.ReplaceConfiguration(
+            operation=f"config-{digest}",
+            version=version,
+            base=base,
+            digest=digest,
+            document=document,
+            tables=tables,
+        )
+    )
+
+
+def invalid(message: str) -> result.Failure:
+    """Return the failure for a configuration that is refused."""
+    return result.Failure(exceptions.ValidationError(message, REMEDY))
+
+
+_TABLES: dict[type[model.Entity], str] = {
+    model.Profile: "profiles",
+    model.Route: "routes",
+    model.Account: "accounts",
+    model.Key: "keys",
+    model.Service: "services",
+    model.Configuration: "configurations",
+}
+
+
+def _name_of(item: Any) -> str:
+    return item.id if isinstance(item, model.Key) else item.name
+
+
+def _problem(items: list[model.Entity]) -> str:
+    """Return what is wrong between the entities, or an empty string."""
+    names: set[tuple[type[model.Entity], str]] = set()
+    for item in items:
+        name = _name_of(item)
+        if (type(item), name) in names:
+            if isinstance(item, model.Key):
+                return "two accounts share a key"
+            return f"two {_TABLES[type(item)]} are named {name!r}"
+        names.add((type(item), name))
+    routes = [item for item in items if isinstance(item, model.Route)]
+    return _route_problem(routes, names)
+
+
+def _route_problem(
+    routes: Iterable[model.Route], names: set[tuple[type[model.Entity], str]]
+) -> str:
+    places: set[tuple[str, str, str]] = set()
+    for route in routes:
+        if (model.Profile, route.profile) not in names:
+            return f"route {route.name!r} names the unknown profile {route.profile!r}"
+        for service in route.services:
+            if (model.Service, service) not in names:
+                return f"route {route.name!r} names the unknown service {service!r}"
+        place = (route.host or route.service, route.method, route.path_prefix)
+        if place in places:
+            return f"route {route.name!r} serves the same requests as another"
+        places.add(place)
+    return ""
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -1,6 +1,7 @@
 """Composition root of a control instance and the ``toucanfold control`` command."""
 
 import asyncio
+import dataclasses
 import random
 import signal
 from collections.abc import Callable
@@ -11,13 +12,16 @@
 
 from toucanfold import (
     adminapi,
+    clock,
     cluster,
     cmdline,
+    commands,
     config,
     credentials,
     exceptions,
     files,
     httpapi,
+    httpserver,
     leadership,
     leases,
     link,
@@ -27,6 +31,7 @@
     plugins,
     rafttypes,
     replica,
+    sharing,
     slots,
     storage,
     store,
@@ -39,12 +44,28 @@
 flags.DEFINE_string("settings", "", "Settings file.", flag_values=FLAGS)
 flags.DEFINE_string("log_level", "info", "Least level to log.", flag_values=FLAGS)
 MEMBERS_S = 0.5
+JOIN_LIMIT_S = 1.0
+STOP_LIMIT_S = 3.0
+STOP_CHECK_S = 0.02
 TEXT = "Runs a control instance until SIGTERM."
 
+# Time in which a change or a read of the configuration must find a leader. The caller
+# then asks another instance.
+CONFIGURATION_LIMIT_S = 3.0
+READ_LIMIT_S = 1.0
+
 Send = Callable[[str, messages.Raft], bool]
 ReplicaFactory = Callable[[store.Store, Send], Any]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listener:
+    """A further HTTP listener: the option with its address, and who answers."""
+
+    option: str
+    handler: httpserver.Handler
+
+
 class Control:
     """One control instance: consensus, watchers and the operators' API."""
 
@@ -58,6 +79,13 @@
     ):
         self._settings = settings
         self._contexts = contexts
+        self.secret = secret
+        self.rate_bound = sharing.RateBound(
+            settings.get("control", "rate_window"),
+            settings.get("control", "rate_overage"),
+            settings.get("control", "rate_overage_calls"),
+        )
+        self._others: list[tuple[str, httpserver.Server]] = []
         self._identity = link.Identity(
             fleet=settings.get("control", "fleet"),
             secret=secret,
@@ -71,7 +99,11 @@
         self.cluster = cluster.Cluster(self._identity, self.store, contexts.link_client)
         self.replica = replica_factory(self.store, self.cluster.send)
         self.leadership = leadership.Leadership(
-            self.replica, self.store, leases.Grantor(), slots.plan
+            self.replica,
+            self.store,
+            leases.Grantor(),
+            slots.plan if settings.get("control", "plan_slots") else None,
+            settings.get("control", "tolerated_losses"),
         )
         self.cluster.attach(self.replica, self.leadership)
         self.watchers = watchers.Watchers(self.store, self.cluster)
@@ -99,21 +131,66 @@
         await self._http.start(
             settings.get("control", "admin_listen"), self._contexts.admin
         )
+        for address, server in self._others:
+            await server.listen(address)
         loop = asyncio.get_running_loop()
         self.running = loop.create_task(self.replica.run())
         self._tasks = [
             self.running,
             loop.create_task(self.leadership.run()),
             loop.create_task(self._follow_members()),
+            loop.create_task(self._report_waiting()),
             loop.create_task(self._report()),
         ]
 
+    def add(self, listener: Listener) -> None:
+        """Add a further listener, which start opens."""
+        address = self._settings.get("control", listener.option)
+        server = httpserver.Server(listener.handler, httpserver.Limits())
+        self._others.append((address, server))
+
+    async def replace_configuration(
+        self, command: commands.ReplaceConfiguration
+    ) -> result.Result[int, exceptions.ToucanfoldError]:
+        """Put a configuration in force and return the revision.
+
+        Fails with ConflictError on top of another version, with ValidationError if it
+        is invalid, and with other errors if it may or may not come into force.
+        """
+        answered = await self.cluster.submit(command, CONFIGURATION_LIMIT_S)
+        if isinstance(answered, result.Failure):
+            return answered
+        outcome = answered.unwrap()["outcome"]
+        logging.info(
+            "configuration %d on %d: %s",
+            command.version,
+            command.base,
+            "in force" if outcome["ok"] else outcome["message"],
+        )
+        if outcome["ok"]:
+            return result.Success(outcome["revision"])
+        message, remedy = outcome["message"], outcome["remedy"]
+        if outcome["kind"] == "conflict":
+            present = outcome["present_revision"]
+            return result.Failure(exceptions.ConflictError(message, remedy, present))
+        return result.Failure(exceptions.ValidationError(message, remedy))
+
+    async def read_document(self) -> str:
+        """Return the text of the newest configuration, empty if it is not sure."""
+        answered = await self.cluster.request("read", {}, READ_LIMIT_S)
+        if isinstance(answered, result.Failure):
+            return ""
+        if not await self.cluster.caught_up(answered.unwrap()["revision"]):
+            return ""
+        return self.store.document
+
     async def stop(self) -> None:
         """Stop as planned: hand over the lead, finish open requests, close."""
         logging.info("stopping")
         if self.replica.is_leader:
             await self.replica.transfer_leadership()
         await self._http.stop()
+        await self._stop_others()
         if self._server is not None:
             self._server.close()
         await self.watchers.stop()
@@ -127,9 +204,19 @@
         if self._server is not None:
             self._server.close()
         await self._http.stop(0)
+        for _, server in self._others:
+            server.stop()
         await self.watchers.stop()
         await self.cluster.stop()
 
+    async def _stop_others(self) -> None:
+        """Answer the open requests of further listeners, within a limit."""
+        end = asyncio.get_running_loop().time() + STOP_LIMIT_S
+        for _, server in self._others:
+            server.drain()
+            while server.busy and asyncio.get_running_loop().time() < end:
+                await asyncio.sleep(STOP_CHECK_S)
+
     def dump(self) -> dict[str, Any]:
         """Return the state dump; it holds no secrets."""
         now = asyncio.get_running_loop().time()
@@ -180,8 +267,20 @@
                 item["name"]: item["address"]
                 for item in self.replica.status()["members"]
             }
-            self.cluster.set_members(known or self._settings.get("control", "members"))
+            self.cluster.set_members(known or first_members(self._settings))
+            await asyncio.sleep(MEMBERS_S)
+
+    async def _report_waiting(self) -> None:
+        """Tell the leader of instances that wait and know only this member."""
+        while True:
             await asyncio.sleep(MEMBERS_S)
+            if self.replica.is_leader:
+                continue
+            for name, found in self.replica.waiting().items():
+                payload = {"name": name, **dataclasses.asdict(found)}
+                told = await self.cluster.request("join", payload, JOIN_LIMIT_S)
+                if isinstance(told, result.Failure):
+                    logging.warning("%s waits to be added: %s", name, told.failure())
 
     async def _report(self) -> None:
         while True:
@@ -192,15 +291,34 @@
             self.metrics.report()
 
 
+Extension = Callable[[Control], list[Listener]]
+
+
+def first_members(settings: config.Settings) -> dict[str, str]:
+    """Return the members that found a fleet, or admit this instance, by name.
+
+    Seeds are known by address only, so their hosts are their names.
+    """
+    listed = settings.get("control", "members")
+    if listed:
+        return listed
+    seeds = config.with_port(
+        settings.get("control", "seeds"), settings.get("control", "seed_port")
+    )
+    return {address.rpartition(":")[0]: address for address in seeds}
+
+
 def make_replica(settings: config.Settings) -> ReplicaFactory:
     """Return a factory of the replica on the data folder; raises StorageError."""
     folder = files.LocalFiles(settings.get("control", "data_folder"))
     kept = storage.Storage(
         folder, settings.get("control", "fleet"), settings.get("control", "name")
     )
-    plan = rafttypes.Founding(
-        settings.get("control", "members"), settings.get("control", "join")
-    )
+    first = first_members(settings)
+    is_joining = settings.get("control", "join")
+    if settings.get("control", "name") not in first:
+        is_joining = True
+    plan = rafttypes.Founding(first, is_joining, settings.get("control", "listen"))
     entries = settings.get("control", "snapshot_entries")
 
     def create(fleet: store.Store, send: Send) -> replica.Replica:
@@ -209,12 +327,17 @@
     return create
 
 
-async def serve(settings: config.Settings) -> None:
-    """Run an instance until SIGTERM or SIGINT; raises StorageError."""
+async def serve(settings: config.Settings, extend: Extension | None = None) -> None:
+    """Run an instance until SIGTERM or SIGINT; raises StorageError.
+
+    Extend returns further listeners, for interfaces that control does not know.
+    """
     secret = _value(config.read_secret(settings))
     operators = _value(credentials.read(settings.get("control", "admin_file")))
     contexts = _value(tls.load(settings))
     control = Control(settings, secret, operators, contexts, make_replica(settings))
+    for listener in extend(control) if extend else ():
+        control.add(listener)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -240,12 +363,17 @@
     return read.unwrap()
 
 
+def run(path: str, extend: Extension | None = None, log_level: str = "info") -> int:
+    """Run an instance from its settings file; raises SettingsError, StorageError."""
+    settings = _value(config.read(path, "control"))
+    logs.set_up(settings.get("control", "name"), log_level)
+    clock.run(serve(settings, extend))
+    return 0
+
+
 def main(arguments: list[str]) -> int:
     """Run the instance until it is told to stop."""
     cmdline.parse(FLAGS, "control", arguments, TEXT)
     if not FLAGS.settings:
         return cmdline.fail("no settings file is given", "use --settings=FILE")
-    settings = _value(config.read(FLAGS.settings, "control"))
-    logs.set_up(settings.get("control", "name"), FLAGS.log_level)
-    asyncio.run(serve(settings))
-    return 0
+    return run(FLAGS.settings, log_level=FLAGS.log_level)
--- a/toucanfold/credentials.py
+++ b/toucanfold/credentials.py
@@ -45,7 +45,12 @@
 def read(
     path: str,
 ) -> result.Result[Credentials, exceptions.SettingsError]:
-    """Read the admin file: a line ``operator:secret`` for each operator."""
+    """Read the admin file: a line ``operator:secret`` for each operator.
+
+    An empty path stands for a file that lists nobody.
+    """
+    if not path:
+        return result.Success(Credentials({}))
 
     def failure(message: str, remedy: str) -> result.Failure:
         return result.Failure(
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -1,10 +1,11 @@
 """Composition root of the daemon beside a target."""
 
 import asyncio
+import dataclasses
 import gc
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from absl import flags, logging
@@ -13,9 +14,11 @@
 from toucanfold import (
     admission,
     calls,
+    clock,
     cmdline,
     config,
     debughttp,
+    dialect,
     dispatch,
     egress,
     entry,
@@ -35,6 +38,7 @@
     parts,
     peers,
     plugins,
+    presence,
     pressure,
     retries,
     router,
@@ -70,6 +74,14 @@
         return await self.runner.run(call)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listener:
+    """A further HTTP listener: the option with its address, and who answers."""
+
+    option: str
+    handler: httpserver.Handler
+
+
 class Daemon:
     """All parts of one daemon; source stands for its connection to control."""
 
@@ -81,8 +93,12 @@
         contexts: tls.Contexts | None = None,
         rng: random.Random | None = None,
         rate: parts.Rate | None = None,
+        spoken: dialect.Dialect | None = None,
+        known: presence.Presence | None = None,
     ):
         self._settings = settings
+        self._dialect = spoken or dialect.Native()
+        self.presence = known or presence.Presence()
         self._identity = identity
         self.source = source
         self._rate = rate
@@ -112,7 +128,7 @@
             self.rng,
         )
         # Spent by this daemon's own retries and by its callers' resends.
-        self.budgets = retries.Budgets()
+        self.budgets = self._make_budgets()
         self.sender = self._make_sender()
         self.owner = owner.Owner(
             identity.name, identity.incarnation, self.sender, self.peers
@@ -142,6 +158,8 @@
         self.debug_server = httpserver.Server(
             debughttp.DebugHandler(self.dump), httpserver.Limits(max_body=0)
         )
+        self._others: list[httpserver.Server] = []
+        self._draining = False
         self._plugins = ("", "", 0, 0)
         self._reporter: asyncio.TimerHandle | None = None
         source.subscribe(self._on_state)
@@ -156,21 +174,43 @@
         self._on_state(self.source.state)
         self.dispatcher.start()
         await self.peers.listen(self._get("link_listen"))
-        await self.egress_server.listen(self._get("egress_listen"))
+        if self._get("egress_listen"):
+            await self.egress_server.listen(self._get("egress_listen"))
         await self.debug_server.listen(self._get("debug_listen"))
         await self.callers.listen(self._get("caller_listen"), self._contexts.callers)
         self._report()
         logging.info("serving callers on %s", self._get("caller_listen"))
 
+    async def listen(self, listener: Listener) -> None:
+        """Open a further listener; OSError if its address cannot be bound."""
+        server = httpserver.Server(listener.handler, httpserver.Limits())
+        await server.listen(self._get(listener.option))
+        self._others.append(server)
+
+    def is_ready(self, now: float) -> bool:
+        """Whether callers should send their requests here."""
+        is_known = self.source.state.revision > 0
+        return is_known and self.source.is_fresh(now) and not self._draining
+
     async def drain(self) -> None:
-        """Refuse new calls, finish accepted ones, and return when empty."""
+        """Refuse new calls, finish accepted ones, and return when empty.
+
+        Callers' requests are still served for a while, since callers and balancers
+        take time to notice that this daemon is not ready any more.
+        """
         logging.info("draining")
-        await self.source.drain()
-        self.entry.stopping = True
-        self.callers.drain()
-        self.peers.drain()
+        self._draining = True
         limit_s = self._get("drain_timeout")
-        await asyncio.sleep(min(DRAIN_NOTICE_S, limit_s))
+        serve_s = min(self._get("drain_serve"), limit_s)
+        end = asyncio.get_running_loop().time() + limit_s
+        self.peers.drain()
+        self.callers.drain()
+        announcing = asyncio.ensure_future(self.source.drain())
+        await asyncio.sleep(serve_s)
+        self.entry.stopping = True
+        await asyncio.sleep(min(DRAIN_NOTICE_S, limit_s - serve_s))
+        limit_s = max(0.0, end - asyncio.get_running_loop().time())
+        await asyncio.wait({announcing}, timeout=limit_s)
         if not await _wait_until(self._is_empty, limit_s):
             logging.warning(
                 "the drain timeout ended with %d calls running", self.running
@@ -182,7 +222,8 @@
 
     def stop(self) -> None:
         """Close all listeners and connections at once."""
-        for server in (self.callers, self.egress_server, self.debug_server):
+        own = (self.callers, self.egress_server, self.debug_server)
+        for server in (*own, *self._others):
             server.stop()
         self.peers.stop()
         self.dispatcher.stop()
@@ -253,6 +294,11 @@
             for slot in state.slots.values()
         )
 
+    async def on_presence(self) -> None:
+        """Follow a change of the own target, and tell the other daemons."""
+        self.dispatcher.on_presence()
+        await self.source.set_ready(self.presence.accepts_calls)
+
     def complete_copies(self) -> list[messages.SlotMark]:
         """Return the slots of which this daemon, as backup, has a whole copy."""
         return [
@@ -285,8 +331,17 @@
             limiter.Delivery(),
             admission.Fair(),
             self.learnt,
+            self._dialect,
+            self.presence,
         )
 
+    def _make_budgets(self) -> retries.Budgets:
+        part = self._get("repeat_part")
+        if not part:
+            return retries.Budgets()
+        earned = retries.REPEAT_PART_USED * part
+        return retries.Budgets(earned, capacity=1.0, start=0.0)
+
     def _make_sender(self) -> forward.Sender:
         self.peers.on_link = self.router.on_link
         return forward.Sender(
@@ -309,6 +364,8 @@
             rate=self._rate,
             budgets=self.budgets,
             serve_open_when_stale=self._get("serve_open_when_stale"),
+            spoken=self._dialect,
+            service=self.service,
         )
 
     def _on_state(self, state: model.FleetState) -> None:
@@ -316,6 +373,17 @@
         now = asyncio.get_running_loop().time()
         self.router.update(now, state)
         self.owner.on_state(now, state)
+        self.callers.limits = limits_of(self._limits(), state.configuration)
+        if self._get("repeat_part"):
+            alive = [
+                item
+                for item in state.targets.values()
+                if item.state in model.ALIVE_STATES
+            ]
+            self.budgets.share(self._get("repeat_calls"), len(alive))
+        declared = state.services.get(self.service)
+        if declared is not None:
+            self.dispatcher.pool.limit = declared.max_connections
         profile = _leading_profile(state, self.service)
         if profile is None:
             return
@@ -341,6 +409,22 @@
         self._reporter = loop.call_later(interval_s, self._report)
 
 
+def limits_of(
+    limits: httpserver.Limits, configuration: model.Configuration | None
+) -> httpserver.Limits:
+    """Return the limits of callers: the configuration's where it sets them."""
+    if configuration is None:
+        return limits
+    return dataclasses.replace(
+        limits,
+        max_header=configuration.max_header or limits.max_header,
+        max_body=configuration.max_body or limits.max_body,
+        header_timeout_s=configuration.header_timeout_ms / 1000
+        or limits.header_timeout_s,
+        idle_timeout_s=configuration.idle_timeout_ms / 1000 or limits.idle_timeout_s,
+    )
+
+
 async def _wait_until(condition: Callable[[], bool], limit_s: float) -> bool:
     loop = asyncio.get_running_loop()
     limit = loop.time() + limit_s
@@ -354,7 +438,7 @@
 def _leading_profile(state: model.FleetState, service: str) -> model.Profile | None:
     """Return the most important profile of a service: it names the plug-ins."""
     named = {
-        route.profile for route in state.routes.values() if route.service == service
+        route.profile for route in state.routes.values() if service in route.services
     }
     found = [state.profiles[name] for name in named if name in state.profiles]
     return min(found, key=lambda item: (item.rank, item.name), default=None)
@@ -367,13 +451,15 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
-async def serve(daemon: Daemon) -> None:
+async def serve(daemon: Daemon, listeners: Sequence[Listener] = ()) -> None:
     """Run a daemon until SIGTERM or SIGINT, then drain it."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     await daemon.start()
+    for listener in listeners:
+        await daemon.listen(listener)
     tune_collector()
     try:
         await stop.wait()
@@ -427,31 +513,68 @@
         link_address=settings.get("daemon", "link_advertise")
         or settings.get("daemon", "link_listen"),
     )
-    addresses = settings.get("daemon", "control")
+    addresses = config.with_port(
+        settings.get("daemon", "control"), settings.get("daemon", "control_port")
+    )
     return watch.Watch(identity, addresses, announcement, holder, contexts.link_client)
 
 
-def main(arguments: list[str]) -> int:
-    """Run a daemon from its settings file; return the exit status."""
-    cmdline.parse(FLAGS, "daemon", arguments, TEXT)
-    if not FLAGS.settings:
-        return cmdline.fail("no settings file is given", "set --settings=FILE")
-    loaded = load(FLAGS.settings)
+def make(
+    setup: Setup,
+    spoken: dialect.Dialect | None = None,
+    known: presence.Presence | None = None,
+) -> Daemon:
+    """Return a daemon whose watch has started; needs a running event loop."""
+    settings, secret, contexts = setup
+    identity = identity_of(settings, secret)
+    holder = limits.Holder()
+    source = make_watch(setup, identity, holder)
+    rate = spending.Spender(holder, source.ping_soon)
+    if known is not None:
+        source.announce_as(known.accepts_calls)
+    source.start()
+    made = Daemon(
+        settings,
+        identity,
+        source,
+        contexts,
+        rate=rate,
+        spoken=spoken,
+        known=known,
+    )
+    source.complete_copies = made.complete_copies
+    return made
+
+
+def run(
+    path: str,
+    spoken: dialect.Dialect | None = None,
+    must_announce: bool = False,
+    extend: Callable[[Daemon], list[Listener]] | None = None,
+    log_level: str = "info",
+) -> int:
+    """Run a daemon from its settings file; raises SettingsError.
+
+    Extend returns further listeners, for interfaces that the daemon does not know.
+    """
+    loaded = load(path)
     if isinstance(loaded, result.Failure):
         raise loaded.failure()
     setup = loaded.unwrap()
-    settings, secret, contexts = setup
-    logs.set_up(settings.get("daemon", "name"), FLAGS.log_level)
-    identity = identity_of(settings, secret)
+    logs.set_up(setup[0].get("daemon", "name"), log_level)
 
-    async def run() -> None:
-        holder = limits.Holder()
-        source = make_watch(setup, identity, holder)
-        rate = spending.Spender(holder, source.ping_soon)
-        source.start()
-        daemon = Daemon(settings, identity, source, contexts, rate=rate)
-        source.complete_copies = daemon.complete_copies
-        await serve(daemon)
+    async def start() -> None:
+        known = presence.Presence(must_announce) if must_announce else None
+        made = make(setup, spoken, known)
+        await serve(made, extend(made) if extend else [])
 
-    asyncio.run(run())
+    clock.run(start())
     return 0
+
+
+def main(arguments: list[str]) -> int:
+    """Run a daemon from its settings file; return the exit status."""
+    cmdline.parse(FLAGS, "daemon", arguments, TEXT)
+    if not FLAGS.settings:
+        return cmdline.fail("no settings file is given", "set --settings=FILE")
+    return run(FLAGS.settings, log_level=FLAGS.log_level)
--- /dev/null
+++ b/toucanfold/dialect.py
@@ -0,0 +1,194 @@
+"""What callers, targets and daemons say in HTTP header fields.
+
+The call path works with the types of this module. A dialect turns header fields into
+them and back, so that one call path serves interfaces that name things differently.
+"""
+
+import dataclasses
+from typing import Protocol
+
+from toucanfold import calls, headers, httpclient, httpserver, replies
+
+BEARER = b"bearer "
+
+
+@dataclasses.dataclass(slots=True)
+class Head:
+    """What a request's head says.
+
+    Host is empty if the request names a service instead. Timeout_ms is 0 if unset and
+    None if it is not valid. Stray keys are texts shaped like keys in other fields.
+    """
+
+    root_id: str
+    host: str = ""
+    service: str = ""
+    keys: set[bytes] = dataclasses.field(default_factory=set)
+    stray_keys: set[bytes] = dataclasses.field(default_factory=set)
+    timeout_ms: int | None = 0
+    attempt: int = 0
+    idempotency_key: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What a target's answer says about the call it belongs to.
+
+    A refusal states that the target did not run the call. An answer that is not the
+    call's own must reach nobody.
+    """
+
+    is_own: bool = True
+    refusal: calls.Refusal | None = None
+
+
+class Dialect(Protocol):
+    """Reads and writes the header fields of one interface."""
+
+    def read_head(self, request: httpserver.Request) -> Head | calls.Refusal:
+        """Return what a request's head says, or why it cannot be served."""
+
+    def fields_for_target(
+        self, request: httpserver.Request, caller_service: str, account: str
+    ) -> calls.Headers:
+        """Return a request's fields without those of its connection and keys.
+
+        Account is empty for calls of open routes.
+        """
+
+    def fields_of_dispatch(
+        self, call: calls.Call, token: str, left_ms: int, instance: str
+    ) -> calls.Headers:
+        """Return the fields that the target's daemon adds when it sends a call.
+
+        Left_ms is the time until the call's deadline, instance the id by which the
+        target was announced (empty if none).
+        """
+
+    def judge(self, call: calls.Call, answer: httpclient.TargetAnswer) -> Verdict:
+        """Return what a target's answer says about its call."""
+
+    def fields_for_caller(self, fields: calls.Headers) -> calls.Headers:
+        """Return a target's fields without those of its connection."""
+
+    def refusal(self, refused: calls.Refusal, root_id: str) -> httpserver.Response:
+        """Return the response that carries a refusal."""
+
+    def response(self, answer: calls.Answer, root_id: str) -> httpserver.Response:
+        """Return the response that carries an answer."""
+
+    def broken_request(self, status: int, message: str) -> httpserver.Response:
+        """Return the response to a request that broke HTTP or a limit."""
+
+
+class Native:
+    """The product's own interface, described in docs/messages.md."""
+
+    def read_head(self, request: httpserver.Request) -> Head | calls.Refusal:
+        """Return what a request's head says, or why it cannot be served."""
+        if headers.line_has_key(request.method, request.path):
+            return calls.Refusal(
+                calls.Kind.BAD_REQUEST,
+                message="the request line holds a key; send it as a header",
+            )
+        fields = request.headers
+        presented = presented_keys(fields)
+        return Head(
+            root_id=calls.new_root_id(),
+            service=service_of(fields),
+            keys=presented,
+            stray_keys=headers.keys_in(fields) - presented,
+            timeout_ms=read_timeout_ms(fields),
+            attempt=read_attempt(fields),
+            idempotency_key=headers.find(fields, b"idempotency-key") or b"",
+        )
+
+    def fields_for_target(
+        self, request: httpserver.Request, caller_service: str, account: str
+    ) -> calls.Headers:
+        """Return a request's fields without those of its connection and keys."""
+        return headers.for_target(request.headers, request.body_stream is not None)
+
+    def fields_of_dispatch(
+        self, call: calls.Call, token: str, left_ms: int, instance: str
+    ) -> calls.Headers:
+        """Return the token, the time left, the client account and the request id."""
+        fields = [
+            (b"toucanfold-token", token.encode()),
+            (b"toucanfold-timeout-ms", str(left_ms).encode()),
+            (b"toucanfold-account", call.account.encode()),
+            (b"toucanfold-request-id", call.root_id.encode()),
+        ]
+        if call.idempotency_key:
+            fields.append((b"idempotency-key", call.idempotency_key.encode("latin-1")))
+        return fields
+
+    def judge(self, call: calls.Call, answer: httpclient.TargetAnswer) -> Verdict:
+        """Return a refusal for 503 with Toucanfold-Not-Run: 1."""
+        is_refused = headers.find(answer.headers, b"toucanfold-not-run") == b"1"
+        if answer.status != 503 or not is_refused:
+            return Verdict()
+        text = headers.find(answer.headers, b"retry-after") or b""
+        return Verdict(
+            refusal=calls.Refusal(
+                calls.Kind.OVERLOADED,
+                message="the target refused the call",
+                retry_after_ms=int(text) * 1000 if text.isdigit() else 0,
+            )
+        )
+
+    def fields_for_caller(self, fields: calls.Headers) -> calls.Headers:
+        """Return a target's fields without those of its connection."""
+        return headers.for_caller(fields)
+
+    def refusal(self, refused: calls.Refusal, root_id: str) -> httpserver.Response:
+        """Return the response that carries a refusal and its outcome."""
+        return replies.refusal(refused, root_id)
+
+    def response(self, answer: calls.Answer, root_id: str) -> httpserver.Response:
+        """Return the response of an answer: passed through, or its refusal."""
+        return replies.response(answer, root_id)
+
+    def broken_request(self, status: int, message: str) -> httpserver.Response:
+        """Return the response to a request that broke HTTP or a limit."""
+        return replies.broken_request(status, message)
+
+
+def service_of(fields: calls.Headers) -> str:
+    """Return the service that a request names."""
+    named = headers.find(fields, b"toucanfold-service")
+    if named is None:
+        host = headers.find(fields, b"host") or b""
+        named = host.partition(b":")[0].partition(b".")[0]
+    return named.decode("latin-1")
+
+
+def presented_keys(fields: calls.Headers) -> set[bytes]:
+    """Return the different keys in the headers made for them."""
+    found = set()
+    for name, value in fields:
+        if name == b"toucanfold-key":
+            found.add(value.strip())
+        elif name == b"authorization" and value[:7].lower() == BEARER:
+            found.add(value[7:].strip())
+    return found
+
+
+def read_timeout_ms(fields: calls.Headers) -> int | None:
+    """Return the caller's time left in milliseconds: 0 if unset, None if wrong."""
+    return milliseconds(headers.find(fields, b"toucanfold-timeout-ms"))
+
+
+def milliseconds(text: bytes | None) -> int | None:
+    """Return a positive number of milliseconds: 0 if unset, None if wrong."""
+    if text is None:
+        return 0
+    if not text.isdigit() or len(text) > 9 or int(text) == 0:
+        return None
+    return int(text)
+
+
+def read_attempt(fields: calls.Headers) -> int:
+    """Return how often the caller says it sent the request before; 0 if unclear."""
+    text = headers.find(fields, b"toucanfold-attempt") or b""
+    return int(text) if text.isdigit() and len(text) <= 9 else 0
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -8,6 +8,7 @@
     admission,
     bodies,
     calls,
+    dialect,
     exceptions,
     headers,
     httpclient,
@@ -15,6 +16,7 @@
     limiter,
     metrics,
     model,
+    presence,
     pressure,
 )
 
@@ -49,7 +51,11 @@
         concurrency: limiter.ConcurrencyLimiter,
         queue: admission.AdmissionQueue,
         learnt: pressure.LearntLevels | None = None,
+        spoken: dialect.Dialect | None = None,
+        known: presence.Presence | None = None,
     ):
+        self._dialect = spoken or dialect.Native()
+        self._presence = known or presence.Presence()
         self.pool = pool
         self.tokens = tokens
         self.in_flight = 0
@@ -98,6 +104,13 @@
             self._window.cancel()
         self.pool.close()
 
+    def on_presence(self) -> None:
+        """Follow what the target announced; calls that it no longer takes end."""
+        if isinstance(self._limiter, limiter.Places):
+            self._limiter.on_places(self._presence.places)
+        if self._presence.accepts_calls:
+            self._pump(self._loop.time())
+
     def replace(
         self,
         concurrency: limiter.ConcurrencyLimiter,
@@ -106,6 +119,7 @@
         """Change the plug-ins; waiting calls move to the new queue in order."""
         now = self._loop.time()
         self._limiter, old, self._queue = concurrency, self._queue, queue
+        self.on_presence()
         while True:
             ticket, refused = old.take(now, 0.0)
             self._refuse(refused)
@@ -119,6 +133,8 @@
         now = self._loop.time()
         if call.deadline <= now:
             return self._stamp(call, _too_late(), None)
+        if not self._presence.accepts_calls:
+            return self._stamp(call, self._presence.refuse(), None)
         call_id = next(self._ids)
         granted = self._loop.create_future()
         self._waiting[call_id] = granted
@@ -241,7 +257,7 @@
         )
         if not isinstance(exchanged, httpclient.result.Success):
             return self._failed(call, exchanged.failure())
-        return _answered(exchanged.unwrap())
+        return self._answered(call, exchanged.unwrap())
 
     async def _acquire(self, call: calls.Call) -> httpclient.Connection | calls.Answer:
         connection = self.pool.take_idle()
@@ -258,6 +274,25 @@
             calls.Kind.TARGET_FAILED, acquired.failure().message, retry_after_ms=100
         )
 
+    def _answered(
+        self, call: calls.Call, answer: httpclient.TargetAnswer
+    ) -> tuple[calls.Answer, limiter.FinishKind]:
+        verdict = self._dialect.judge(call, answer)
+        if verdict.refusal is not None:
+            bodies.drop(answer.body_stream)
+            return calls.Answer.refused(verdict.refusal), limiter.FinishKind.SHED
+        if not verdict.is_own:
+            bodies.drop(answer.body_stream)
+            crossed = exceptions.TargetError("the answer is another call's", sent=True)
+            return self._failed(call, crossed)
+        kept = self._dialect.fields_for_caller(answer.headers)
+        passed = calls.Answer(
+            answer.status, kept, answer.body, body_stream=answer.body_stream
+        )
+        is_shed = answer.status == 503
+        kind = limiter.FinishKind.SHED if is_shed else limiter.FinishKind.OK
+        return passed, kind
+
     def _failed(
         self, call: calls.Call, error: exceptions.TargetError
     ) -> tuple[calls.Answer, limiter.FinishKind]:
@@ -278,13 +313,10 @@
         left_ms = max(1, int((call.deadline - self._loop.time()) * 1000))
         fields = [
             *call.headers,
-            (b"toucanfold-token", token.text.encode()),
-            (b"toucanfold-timeout-ms", str(left_ms).encode()),
-            (b"toucanfold-account", call.account.encode()),
-            (b"toucanfold-request-id", call.root_id.encode()),
+            *self._dialect.fields_of_dispatch(
+                call, token.text, left_ms, self._presence.instance
+            ),
         ]
-        if call.idempotency_key:
-            fields.append((b"idempotency-key", call.idempotency_key.encode("latin-1")))
         if call.body_stream is not None:
             if headers.find(call.headers, b"content-length") is None:
                 fields.append((b"transfer-encoding", b"chunked"))
@@ -361,32 +393,6 @@
     return calls.refuse(calls.Kind.DEADLINE_EXCEEDED, "the deadline has passed")
 
 
-def _answered(
-    answer: httpclient.TargetAnswer,
-) -> tuple[calls.Answer, limiter.FinishKind]:
-    if answer.status != 503:
-        kept = headers.for_caller(answer.headers)
-        return (
-            calls.Answer(
-                answer.status, kept, answer.body, body_stream=answer.body_stream
-            ),
-            limiter.FinishKind.OK,
-        )
-    if headers.find(answer.headers, b"toucanfold-not-run") == b"1":
-        bodies.drop(answer.body_stream)
-        text = headers.find(answer.headers, b"retry-after") or b""
-        retry_after_ms = int(text) * 1000 if text.isdigit() else 0
-        refused = calls.refuse(
-            calls.Kind.OVERLOADED,
-            "the target refused the call",
-            retry_after_ms=retry_after_ms,
-        )
-        return refused, limiter.FinishKind.SHED
-    kept = headers.for_caller(answer.headers)
-    passed = calls.Answer(503, kept, answer.body, body_stream=answer.body_stream)
-    return passed, limiter.FinishKind.SHED
-
-
 def create_plugins(
     profile: model.Profile,
 ) -> tuple[limiter.ConcurrencyLimiter, admission.AdmissionQueue]:
--- a/toucanfold/egress.py
+++ b/toucanfold/egress.py
@@ -5,6 +5,7 @@
 
 from toucanfold import (
     calls,
+    dialect,
     entry,
     headers,
     httpserver,
@@ -122,14 +123,14 @@
             return _bad(f"the call chain is deeper than {self._max_depth}")
         if headers.line_has_key(request.method, request.path):
             return _bad("the request line holds a key")
-        service = entry.service_of(request.headers)
+        service = dialect.service_of(request.headers)
         path = request.path.partition("?")[0]
-        found = self._lookup.route(service, request.method, path)
+        found = self._lookup.route("", service, request.method, path)
         if found is None:
             return calls.Refusal(
                 calls.Kind.NO_ROUTE, message=f"no route for service {service!r}"
             )
-        timeout_ms = entry.read_timeout_ms(request.headers)
+        timeout_ms = dialect.read_timeout_ms(request.headers)
         if timeout_ms is None:
             return _bad("Toucanfold-Timeout-Ms must be a positive number")
         child = Child(token, *found)
@@ -147,10 +148,12 @@
         allowed_ms = min(child.timeout_ms or model.MAX_DEADLINE_MS, profile.deadline_ms)
         return calls.Call(
             root_id=parent.root_id,
-            service=child.route.service,
+            service=child.route.service_for(calls.fraction_of(parent.root_id)),
             method=request.method,
             path=request.path,
-            headers=entry.target_headers(request),
+            headers=headers.for_target(
+                request.headers, request.body_stream is not None
+            ),
             body=request.body,
             account=parent.account,
             rank=parent.rank,
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -6,6 +6,7 @@
 from toucanfold import (
     bodies,
     calls,
+    dialect,
     headers,
     httpserver,
     keyguard,
@@ -14,14 +15,12 @@
     model,
     parts,
     pressure,
-    replies,
     resends,
     retries,
 )
 
 # Account under which open routes run when the request has no valid key.
 OPEN_ACCOUNT = "open"
-BEARER = b"bearer "
 MAX_IDEMPOTENCY_KEY_BYTES = 255
 # The retry budget refills with the successes of other calls, so no exact time is known.
 BUDGET_RETRY_MS = 1000
@@ -32,18 +31,22 @@
 
     __slots__ = (
         "account",
+        "attempt",
         "deadline",
         "idempotency_key",
         "profile",
         "root_id",
         "route",
+        "service",
     )
 
     def __init__(self, root_id: str, route: model.Route, profile: model.Profile):
         self.root_id = root_id
         self.route = route
         self.profile = profile
+        self.service = route.service_for(calls.fraction_of(root_id))
         self.account: model.Account | None = None
+        self.attempt = 0
         self.deadline = 0.0
         self.idempotency_key = ""
 
@@ -67,6 +70,8 @@
         rate: parts.Rate | None = None,
         budgets: retries.Budgets | None = None,
         serve_open_when_stale: bool = False,
+        spoken: dialect.Dialect | None = None,
+        service: str = "",
     ):
         self.running = 0
         self.stopping = False
@@ -75,6 +80,8 @@
         self._forwarder = forwarder
         self._metrics = measured
         self._rng = rng
+        self._dialect = spoken or dialect.Native()
+        self._service = service
         self._levels = levels or pressure.LearntLevels()
         self._rate = rate or parts.NoRate()
         self._budgets = budgets or retries.Budgets()
@@ -85,17 +92,18 @@
     def protocol_refusal(self, status: int, message: str) -> httpserver.Response:
         """Return the answer to a malformed, oversize or slow request."""
         self._metrics.count(f"http.{status}")
-        return replies.broken_request(status, message)
+        return self._dialect.broken_request(status, message)
 
     def check_head(self, request: httpserver.Request) -> httpserver.Response | None:
         """Check what needs no body: state, route, key and headers."""
-        root_id = calls.new_root_id()
-        checked = self._check(request, root_id)
+        head = self._dialect.read_head(request)
+        if isinstance(head, calls.Refusal):
+            return self._refuse(head, calls.new_root_id())
+        checked = self._check(request, head)
         if isinstance(checked, Admitted):
             request.context = checked
             return None
-        self._metrics.count(f"refused.{checked.kind}")
-        return replies.refusal(checked, root_id)
+        return self._refuse(checked, head.root_id)
 
     async def handle(self, request: httpserver.Request) -> httpserver.Response:
         """Run the call of a request and return its response."""
@@ -109,40 +117,39 @@
         now = self._loop.time()
         # Runs after the response is written, so that it delays no answer.
         self._loop.call_soon(self._observe, request, admitted, answer, now)
-        return replies.response(answer, admitted.root_id)
+        return self._dialect.response(answer, admitted.root_id)
+
+    def _refuse(self, refused: calls.Refusal, root_id: str) -> httpserver.Response:
+        self._metrics.count(f"refused.{refused.kind}")
+        return self._dialect.refusal(refused, root_id)
 
     def _check(
-        self, request: httpserver.Request, root_id: str
+        self, request: httpserver.Request, head: dialect.Head
     ) -> Admitted | calls.Refusal:
         if self.stopping:
             return calls.Refusal(calls.Kind.STOPPING, message="this daemon is stopping")
-        if headers.line_has_key(request.method, request.path):
-            return _bad("the request line holds a key; send it as a header")
-        service = service_of(request.headers)
         path = request.path.partition("?")[0]
-        found = self._lookup.route(service, request.method, path)
+        found = self._lookup.route(head.host, head.service, request.method, path)
         if found is None:
-            return self._without_route(service)
+            return self._without_route(head.host or head.service)
         route, profile = found
         if not self._is_served(route):
             return calls.Refusal(
                 calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
             )
-        admitted = Admitted(root_id, route, profile)
+        admitted = Admitted(head.root_id, route, profile)
         return (
-            self._check_key(request, admitted)
-            or _check_limits(request, admitted)
+            self._check_key(head, admitted)
+            or _check_limits(request, head, admitted)
             or admitted
         )
 
-    def _without_route(self, service: str) -> calls.Refusal:
+    def _without_route(self, wanted: str) -> calls.Refusal:
         if not self._source.is_fresh(self._loop.time()):
             return calls.Refusal(
                 calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
             )
-        return calls.Refusal(
-            calls.Kind.NO_ROUTE, message=f"no route for service {service!r}"
-        )
+        return calls.Refusal(calls.Kind.NO_ROUTE, message=f"no route for {wanted!r}")
 
     def _is_served(self, route: model.Route) -> bool:
         if self._source.is_fresh(self._loop.time()):
@@ -151,17 +158,15 @@
         return route.open and self._serve_open_when_stale
 
     def _check_key(
-        self, request: httpserver.Request, admitted: Admitted
+        self, head: dialect.Head, admitted: Admitted
     ) -> calls.Refusal | None:
-        found = presented_keys(request.headers)
-        shaped = headers.keys_in(request.headers)
-        if len(found) > 1 or len(shaped | found) > 1:
+        if len(head.keys | head.stray_keys) > 1:
             return _bad("the request holds different keys")
-        if found:
-            text = found.pop().decode("latin-1")
-            admitted.account = self._lookup.account(text)
+        for key in head.keys:
+            admitted.account = self._lookup.account(key.decode("latin-1"))
         if admitted.account is None and not admitted.route.open:
-            message = "the key is not valid" if shaped or found else "no key was sent"
+            is_sent = head.keys or head.stray_keys
+            message = "the key is not valid" if is_sent else "no key was sent"
             return calls.Refusal(calls.Kind.KEY_REFUSED, message=message)
         return None
 
@@ -170,16 +175,16 @@
     ) -> calls.Answer:
         if headers.has_key(request.body):
             return calls.refuse(calls.Kind.BAD_REQUEST, "the body holds a key")
-        call = _to_call(request, admitted)
-        attempt = read_attempt(request.headers)
-        answer = await self._run_within_bounds(call, attempt, admitted.account)
+        call = self._to_call(request, admitted)
+        answer = await self._run_within_bounds(call, admitted)
         self._resends.on_answer(self._loop.time(), call, answer)
         return answer
 
     async def _run_within_bounds(
-        self, call: calls.Call, attempt: int, account: model.Account | None
+        self, call: calls.Call, admitted: Admitted
     ) -> calls.Answer:
         """Run a call unless pressure, retry budget or rate refuse it."""
+        account, attempt = admitted.account, admitted.attempt
         key = call.pressure_key
         now = self._loop.time()
         if not self._levels.admits(now, key, call.level, self._rng):
@@ -195,7 +200,7 @@
                 f"too many resends to {call.service}",
                 retry_after_ms=BUDGET_RETRY_MS,
             )
-        if account is not None:
+        if account is not None and not account.unlimited:
             wait_s = await self._rate.spend(account.name)
             if wait_s > 0:
                 if is_resend:
@@ -210,6 +215,30 @@
         self._levels.on_answer(self._loop.time(), key, answer.level)
         return answer
 
+    def _to_call(self, request: httpserver.Request, admitted: Admitted) -> calls.Call:
+        account, profile = admitted.account, admitted.profile
+        return calls.Call(
+            root_id=admitted.root_id,
+            service=admitted.service,
+            method=request.method,
+            path=request.path,
+            headers=self._dialect.fields_for_target(
+                request, self._service, "" if account is None else account.name
+            ),
+            body=request.body,
+            account=admitted.account_name,
+            rank=profile.rank,
+            idempotent=profile.idempotent,
+            deadline=admitted.deadline,
+            root_started_at=request.received_at,
+            route=admitted.route.name,
+            weight=1.0 if account is None else account.weight,
+            priority=calls.priority_of(admitted.root_id),
+            attempts_left=profile.attempts,
+            idempotency_key=admitted.idempotency_key,
+            body_stream=guarded(request),
+        )
+
     def _observe(
         self,
         request: httpserver.Request,
@@ -227,90 +256,28 @@
             self._metrics.count(f"refused.{answer.refusal.kind}")
 
 
-def service_of(fields: calls.Headers) -> str:
-    """Return the service that a request names."""
-    named = headers.find(fields, b"toucanfold-service")
-    if named is None:
-        host = headers.find(fields, b"host") or b""
-        named = host.partition(b":")[0].partition(b".")[0]
-    return named.decode("latin-1")
-
-
-def presented_keys(fields: calls.Headers) -> set[bytes]:
-    """Return the different keys in the headers made for them."""
-    found = set()
-    for name, value in fields:
-        if name == b"toucanfold-key":
-            found.add(value.strip())
-        elif name == b"authorization" and value[:7].lower() == BEARER:
-            found.add(value[7:].strip())
-    return found
-
-
-def read_timeout_ms(fields: calls.Headers) -> int | None:
-    """Return the caller's time left in milliseconds: 0 if unset, None if wrong."""
-    text = headers.find(fields, b"toucanfold-timeout-ms")
-    if text is None:
-        return 0
-    if not text.isdigit() or len(text) > 9 or int(text) == 0:
-        return None
-    return int(text)
-
-
-def read_attempt(fields: calls.Headers) -> int:
-    """Return how often the caller says it sent the request before; 0 if unclear."""
-    text = headers.find(fields, b"toucanfold-attempt") or b""
-    return int(text) if text.isdigit() and len(text) <= 9 else 0
-
-
 def guarded(request: httpserver.Request) -> keyguard.KeyGuard | None:
     """Return the stream of a request's body without keys, None if it is whole."""
     stream = request.body_stream
     return None if stream is None else keyguard.KeyGuard(stream)
 
 
-def target_headers(request: httpserver.Request) -> calls.Headers:
-    """Return the fields of a request that its target may see."""
-    return headers.for_target(request.headers, request.body_stream is not None)
-
-
 def _bad(message: str) -> calls.Refusal:
     return calls.Refusal(calls.Kind.BAD_REQUEST, message=message)
 
 
 def _check_limits(
-    request: httpserver.Request, admitted: Admitted
+    request: httpserver.Request, head: dialect.Head, admitted: Admitted
 ) -> calls.Refusal | None:
-    timeout_ms = read_timeout_ms(request.headers)
-    if timeout_ms is None:
-        return _bad("Toucanfold-Timeout-Ms must be a positive number")
-    allowed_ms = min(timeout_ms or model.MAX_DEADLINE_MS, admitted.profile.deadline_ms)
+    if head.timeout_ms is None:
+        return _bad("the time left must be a positive number of milliseconds")
+    allowed_ms = min(
+        head.timeout_ms or model.MAX_DEADLINE_MS, admitted.profile.deadline_ms
+    )
     admitted.deadline = request.received_at + allowed_ms / 1000
-    key = headers.find(request.headers, b"idempotency-key") or b""
+    key = head.idempotency_key
     if len(key) > MAX_IDEMPOTENCY_KEY_BYTES or headers.has_key(key):
         return _bad("Idempotency-Key is too long or holds a client account's key")
     admitted.idempotency_key = key.decode("latin-1")
+    admitted.attempt = head.attempt
     return None
-
-
-def _to_call(request: httpserver.Request, admitted: Admitted) -> calls.Call:
-    account, profile = admitted.account, admitted.profile
-    return calls.Call(
-        root_id=admitted.root_id,
-        service=admitted.route.service,
-        method=request.method,
-        path=request.path,
-        headers=target_headers(request),
-        body=request.body,
-        account=admitted.account_name,
-        rank=profile.rank,
-        idempotent=profile.idempotent,
-        deadline=admitted.deadline,
-        root_started_at=request.received_at,
-        route=admitted.route.name,
-        weight=1.0 if account is None else account.weight,
-        priority=calls.priority_of(admitted.root_id),
-        attempts_left=profile.attempts,
-        idempotency_key=admitted.idempotency_key,
-        body_stream=guarded(request),
-    )
--- a/toucanfold/forward.py
+++ b/toucanfold/forward.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import dataclasses
-import time
 from collections.abc import AsyncGenerator, Callable
 from typing import Protocol
 
 from toucanfold import bodies, calls, model, retries, router
+from toucanfold import clock as clocks
 
 # The daemon that runs a call ends it at the deadline and knows its outcome; this
 # time lets its answer arrive before the call is given up here as unknown.
@@ -57,7 +57,7 @@
         dispatcher: CallRunner,
         peers: Peers,
         state_of: Callable[[], model.FleetState],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
     ):
         self._name = name
         self._router = chooser
@@ -198,7 +198,7 @@
         peers: Peers,
         chooser: router.Router,
         state_of: Callable[[], model.FleetState],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
     ):
         self._name = name
         self._sender = sender
--- a/toucanfold/founding.py
+++ b/toucanfold/founding.py
@@ -15,12 +15,20 @@
 class Founder:
     """Collects the ids of the first members while this instance has no state."""
 
-    __slots__ = ("_addresses", "_confirmed", "_joining", "_key", "_known")
+    __slots__ = (
+        "_addresses",
+        "_confirmed",
+        "_joining",
+        "_key",
+        "_known",
+        "_own_address",
+    )
 
     def __init__(self, key: str, plan: Founding):
         self._key = key
         self._addresses = dict(plan.addresses)
         self._joining = plan.joining
+        self._own_address = plan.own_address
         # Keys last heard by name, and those who have named this instance's id since
         # it started: only these are surely without state now.
         self._known: dict[str, str] = {}
@@ -35,6 +43,7 @@
                 sender=self._key,
                 receiver=self._known.get(name, name),
                 granted=self._joining,
+                address=self._own_address,
             )
             for name in sorted(self._addresses)
             if name != own
--- /dev/null
+++ b/toucanfold/joins.py
@@ -0,0 +1,95 @@
+"""Which waiting instances the leader of control takes in, and in whose place.
+
+An operator can change members by hand. Where the number of losses to be borne is set,
+the leader keeps as many voters as that takes: a member that came back without its disk
+takes its own place, and a new instance that of a member which is gone.
+"""
+
+import dataclasses
+from collections.abc import Collection, Mapping
+
+from toucanfold import members
+
+# A voter that was silent for this long may be replaced by an instance that waits. A
+# restart takes about half of it.
+ABSENT_S = 2.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Waiting:
+    """An instance that waits to be added: the id of its disk and its link address."""
+
+    member_id: str
+    address: str
+
+
+def voters_for(losses: int) -> int:
+    """Return the voters of which a majority is left after some lost their disks."""
+    return 2 * losses + 1
+
+
+def is_founded(membership: members.Membership, losses: int) -> bool:
+    """Whether enough members have a vote for an acknowledged change to be safe."""
+    return len(membership.voters) >= voters_for(losses)
+
+
+class Joins:
+    """Decides on the next change of members; the leader asks it at each tick."""
+
+    __slots__ = ("_absent_since", "_losses")
+
+    def __init__(self, losses: int):
+        self._losses = losses
+        self._absent_since: dict[str, float] = {}
+
+    def next_change(
+        self,
+        now: float,
+        present: members.Membership,
+        waiting: Mapping[str, Waiting],
+        reachable: Collection[str],
+    ) -> members.MemberChange | None:
+        """Return the change to ask for now; None while one is under way."""
+        self._note_absent(now, present, reachable)
+        if not self._losses or len(present.voters) != len(present.members):
+            return None
+        for name in sorted(waiting):
+            change = self._change_for(now, present, name, waiting[name])
+            if change is not None:
+                return change
+        return None
+
+    def _note_absent(
+        self, now: float, present: members.Membership, reachable: Collection[str]
+    ) -> None:
+        absent = present.keys.difference(reachable)
+        self._absent_since = {
+            key: self._absent_since.get(key, now) for key in sorted(absent)
+        }
+
+    def _change_for(
+        self, now: float, present: members.Membership, name: str, found: Waiting
+    ) -> members.MemberChange | None:
+        if members.member_key(name, found.member_id) in present:
+            return None
+        if present.named(name):
+            return _replace(name, found, name)
+        if len(present.voters) < voters_for(self._losses):
+            return members.MemberChange(
+                members.ChangeKind.ADD, name, found.member_id, found.address
+            )
+        gone = [
+            key
+            for key, since in self._absent_since.items()
+            if now - since >= ABSENT_S and key in present.voters
+        ]
+        if not gone:
+            return None
+        longest = min(gone, key=lambda key: (self._absent_since[key], key))
+        return _replace(name, found, members.name_of(longest))
+
+
+def _replace(name: str, found: Waiting, old_name: str) -> members.MemberChange:
+    return members.MemberChange(
+        members.ChangeKind.REPLACE, name, found.member_id, found.address, old_name
+    )
--- a/toucanfold/latencybench.py
+++ b/toucanfold/latencybench.py
@@ -19,7 +19,7 @@
 
 from absl import flags
 
-from toucanfold import cmdline, config, daemon, link, model, parts
+from toucanfold import clock, cmdline, config, daemon, link, model, parts
 
 FLAGS = flags.FlagValues()
 flags.DEFINE_enum(
@@ -334,7 +334,7 @@
     import cProfile
 
     profiler = cProfile.Profile()
-    profiler.runcall(asyncio.run, _serve_daemon())
+    profiler.runcall(clock.run, _serve_daemon())
     profiler.dump_stats(path)
 
 
@@ -342,18 +342,18 @@
     """Run the measurement, or one of its processes."""
     cmdline.parse(FLAGS, "latencybench", arguments, TEXT)
     if FLAGS.role == "target":
-        asyncio.run(_serve_target())
+        clock.run(_serve_target())
     elif FLAGS.role == "daemon":
         if FLAGS.profile:
             _profiled(FLAGS.profile)
         else:
-            asyncio.run(_serve_daemon())
+            clock.run(_serve_daemon())
     else:
         with tempfile.TemporaryDirectory() as folder:
             run = Run(folder)
             try:
                 run.start()
-                _report(*asyncio.run(_measure(run)))
+                _report(*clock.run(_measure(run)))
             finally:
                 run.stop()
     return 0
--- a/toucanfold/leaderparts.py
+++ b/toucanfold/leaderparts.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from toucanfold import exceptions, members, messages, model
+from toucanfold import exceptions, joins, members, messages, model
 
 
 class Replica(Protocol):
@@ -48,6 +48,18 @@
     def forecast(self, change: members.MemberChange) -> members.Forecast:
         """Tell how many further losses the voters can bear with a change."""
 
+    def membership(self) -> members.Membership:
+        """Return the latest membership in the log."""
+
+    def waiting(self) -> dict[str, joins.Waiting]:
+        """Return the instances that wait to be added, by name."""
+
+    def note_waiting(self, name: str, member_id: str, address: str) -> None:
+        """Note an instance that another member heard waiting."""
+
+    def reachable(self) -> set[str]:
+        """Return the keys of the members heard lately (leader only)."""
+
     async def transfer_leadership(self) -> None:
         """Hand the lead to another member."""
 
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -1,6 +1,7 @@
 """What a control instance does while it leads: pings, grants, directory, slots."""
 
 import asyncio
+import base64
 import collections
 import dataclasses
 import operator
@@ -12,8 +13,10 @@
 from returns import result
 
 from toucanfold import (
+    clock,
     commands,
     exceptions,
+    joins,
     leaderparts,
     liveness,
     members,
@@ -46,7 +49,10 @@
         fleet: store.Store,
         grantor: leaderparts.Grantor | None = None,
         planner: leaderparts.Planner | None = None,
+        tolerated_losses: int = 0,
     ):
+        self._losses = tolerated_losses
+        self._joins = joins.Joins(tolerated_losses)
         self._replica = replica
         self._store = fleet
         self._grantor = grantor
@@ -67,6 +73,7 @@
             "read": self._on_read,
             "in_force": self._on_in_force,
             "members": self._on_members,
+            "join": self._on_join,
             "transfer": self._on_transfer,
         }
         fleet.listeners.append(self._on_state)
@@ -93,6 +100,7 @@
                 if await self._has_lead():
                     self._mark_lost()
                     self._plan_slots()
+                    self._admit_waiting()
             except Exception:
                 logging.exception("a leader's check failed")
 
@@ -110,16 +118,30 @@
         return {"led_term": self._led_term, "targets": targets}
 
     async def _on_command(self, payload: Payload) -> Reply:
-        decoded = commands.decode(payload["command"].encode())
+        decoded = commands.decode(base64.b64decode(payload["command"]))
         if isinstance(decoded, result.Failure):
             return decoded
         command = decoded.unwrap()
         command.at = time.time()
+        if isinstance(command, commands.ReplaceConfiguration) and not self._is_safe():
+            return _not_leader(None)
         if isinstance(command, commands.ConfirmEnded):
             self._end(command.name, command.incarnation)
         proposed = await self._replica.propose(commands.encode(command))
         return proposed.map(lambda pair: {"outcome": pair[1], "index": pair[0]})
 
+    def _is_safe(self) -> bool:
+        """Whether the first change would survive the losses that must be borne."""
+        if not self._losses or self._store.state.configuration is not None:
+            return True
+        return joins.is_founded(self._replica.membership(), self._losses)
+
+    async def _on_join(self, payload: Payload) -> Reply:
+        self._replica.note_waiting(
+            payload["name"], payload["member_id"], payload["address"]
+        )
+        return result.Success({})
+
     async def _on_read(self, payload: Payload) -> Reply:
         confirmed = await self._replica.confirm_read()
         return confirmed.map(lambda _: {"revision": self._store.revision})
@@ -266,6 +288,38 @@
         items = [slot.to_json() for slot in slots[:SLOTS_PER_COMMAND]]
         self._propose("slots", commands.AssignSlots(slots=items))
 
+    def _admit_waiting(self) -> None:
+        """Take in an instance that waits, one change of members at a time."""
+        change = self._joins.next_change(
+            clock.now(),
+            self._replica.membership(),
+            self._replica.waiting(),
+            self._replica.reachable(),
+        )
+        if change is None or "members" in self._proposing:
+            return
+        self._proposing.add("members")
+        task = asyncio.get_running_loop().create_task(self._change_members(change))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _change_members(self, change: members.MemberChange) -> None:
+        try:
+            changed = await self._replica.change_members(change)
+        finally:
+            self._proposing.discard("members")
+        place = f" in place of {change.old_name}" if change.old_name else ""
+        if isinstance(changed, result.Failure):
+            logging.warning(
+                "%s %s%s was not done: %s",
+                change.kind,
+                change.name,
+                place,
+                changed.failure(),
+            )
+        else:
+            logging.info("%s %s%s as a member", change.kind, change.name, place)
+
     def _propose(self, label: str, command: commands.Command) -> None:
         """Propose in the background, once at a time per label."""
         if label in self._proposing:
@@ -316,7 +370,7 @@
 
     def _on_state(self) -> None:
         # The loop's clock, which is not at hand when a snapshot is restored at start.
-        now = time.monotonic()
+        now = clock.now()
         self._applied_at[self._store.revision] = now
         while len(self._applied_at) > KEPT_REVISIONS:
             self._applied_at.popitem(last=False)
@@ -325,7 +379,7 @@
 
     def _end(self, name: str, incarnation: int) -> None:
         if self._grantor is not None:
-            self._grantor.on_ended(time.monotonic(), name, incarnation)
+            self._grantor.on_ended(clock.now(), name, incarnation)
 
 
 def _not_leader(leader: str | None) -> result.Failure:
--- a/toucanfold/leases.py
+++ b/toucanfold/leases.py
@@ -218,22 +218,22 @@
         self._directory = {
             (target.name, target.incarnation)
             for target in state.targets.values()
-            if target.state in ("up", "draining")
+            if target.state in model.ALIVE_STATES
         }
         for name in state.accounts:
             self._account(now, name)
         for name, account in self._accounts.items():
             limit = state.accounts.get(name)
-            rate, burst = (limit.rate, limit.burst) if limit else (0.0, 0.0)
+            rate, burst = (limit.rate, limit.capacity) if limit else (0.0, 0.0)
             if (rate, burst) != (account.rate, account.burst):
                 account.rate, account.burst = rate, burst
                 account.settle(now)
                 account.limit_holders()
-        largest = sorted(state.accounts.values(), key=lambda item: -item.burst)
+        largest = sorted(state.accounts.values(), key=lambda item: -item.capacity)
         self._standing = [
             limit.name
             for limit in largest[:MAX_STANDING]
-            if sharing.standing_burst(limit.burst, len(self._directory)) > 0
+            if sharing.standing_burst(limit.capacity, len(self._directory)) > 0
         ]
 
     def on_ended(self, now: float, daemon: str, incarnation: int) -> None:
--- a/toucanfold/limiter.py
+++ b/toucanfold/limiter.py
@@ -15,6 +15,10 @@
 USED_PART = 0.9
 
 
+# Calls sent at a time to a target that has not announced its places.
+UNKNOWN_PLACES = 4
+
+
 class FinishKind(enum.Enum):
     """How a dispatched call ended; SHED is a refusal by the target."""
 
@@ -68,6 +72,37 @@
         """Note the end of a call."""
 
 
+@kernel.register("limiter", "places")
+class Places:
+    """As many calls as the target says it works on at a time.
+
+    It suits targets that announce their places. Until one has, the limit is that of an
+    unknown target.
+    """
+
+    __slots__ = ("_places",)
+
+    def __init__(self) -> None:
+        self._places = UNKNOWN_PLACES
+
+    @property
+    def limit(self) -> int:
+        """The present limit (calls)."""
+        return self._places
+
+    def on_places(self, places: int) -> None:
+        """Take what the target announced; 0 if it says nothing."""
+        self._places = places or UNKNOWN_PLACES
+
+    def on_start(self, now: float, in_flight: int) -> None:
+        """Note a dispatched call."""
+
+    def on_finish(
+        self, now: float, own_time_s: float, in_flight: int, result: FinishKind
+    ) -> None:
+        """Note the end of a call."""
+
+
 @kernel.register("limiter", "aimd")
 class Aimd:
     """Rises by one per round of calls, falls by a tenth when the target fails."""
--- a/toucanfold/limits.py
+++ b/toucanfold/limits.py
@@ -12,7 +12,9 @@
 # Buckets fill this much slower than their rate, so that the rate holds although a
 # clock runs up to 1% fast.
 CLOCK_DRIFT = 0.01
-MAX_WAIT_S = 0.150
+# Longest wait of a call for a token. Two early pings across regions take about half of
+# it, and callers that wait seconds gain more from an answer than from a quick refusal.
+MAX_WAIT_S = 0.4
 # Longest time between two attempts of a waiting call; grants arrive in between.
 POLL_S = 0.020
 # Only in the first part of a shortage do all calls wait for a grant. After that
@@ -327,7 +329,7 @@
                 continue
             bucket = held.bucket
             rate = min(bucket.rate, account.rate)
-            burst = min(bucket.burst, account.burst)
+            burst = min(bucket.burst, account.capacity)
             bucket.resize(now, rate, burst)
 
     def on_grants(
@@ -438,7 +440,7 @@
         if share.grant <= held.grant:
             return
         rate = min(share.rate, limit.rate) if limit else 0.0
-        burst = min(share.burst, limit.burst) if limit else 0.0
+        burst = min(share.burst, limit.capacity) if limit else 0.0
         is_reduced = rate < held.bucket.rate or burst < held.bucket.burst
         held.returned = held.bucket.resize(now, rate, burst)
         held.bucket.add(share.tokens)
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -188,6 +188,13 @@
   snapshot @4 :Data;
   shares @5 :List(Share);
   raftTerm @6 :UInt64;
+  instances @7 :List(Instance);
+}
+
+struct Instance {
+  address @0 :Text;
+  region @1 :Text;
+  dataCentre @2 :Text;
 }
 
 struct Entry {
@@ -212,6 +219,7 @@
   snapshot @11 :Data;
   snapshotOffset @12 :UInt64;
   snapshotDone @13 :Bool;
+  address @14 :Text;
 }
 
 struct Relay {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -284,12 +284,21 @@
     complete: list[SlotMark] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class Instance(Message):
+    """A control instance and where it is."""
+
+    address: str = ""
+    region: str = ""
+    data_centre: str = ""
+
+
 @dataclasses.dataclass(slots=True)
 class WatchPong(Message):
     """Control's reply: confirmed revision, changes and granted shares."""
 
     TAG = "watchPong"
-    NESTED = {"shares": Share}
+    NESTED = {"shares": Share, "instances": Instance}
     LISTS = ("deltas",)
     sequence: int = 0
     confirmed: bool = False
@@ -298,6 +307,7 @@
     snapshot: bytes = b""
     shares: list[Share] = dataclasses.field(default_factory=list)
     raft_term: int = 0
+    instances: list[Instance] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -330,6 +340,7 @@
     snapshot: bytes = b""
     snapshot_offset: int = 0
     snapshot_done: bool = False
+    address: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/model.py
+++ b/toucanfold/model.py
@@ -6,6 +6,7 @@
 import json
 import re
 import secrets
+import zlib
 from typing import Any, TypeVar
 
 from returns import result
@@ -13,11 +14,25 @@
 from toucanfold import exceptions, kernel
 
 CLASS_RANKS = {"critical": 0, "important": 1, "normal": 2, "background": 3}
-TARGET_STATES = ("up", "draining", "left", "lost")
+# Waiting: the daemon runs, but its target takes no calls.
+TARGET_STATES = ("up", "waiting", "draining", "left", "lost")
+# States in which a target's daemon runs and may hold shares and slots.
+ALIVE_STATES = ("up", "waiting", "draining")
 SLOTS_PER_SERVICE = 64
 MAX_ATTEMPTS = 5
 MAX_DEADLINE_MS = 300_000
 MAX_RATE = 1e9
+MAX_WEIGHT = 1e9
+MAX_URGENCY = 255
+# Longest host name of the domain name system.
+MAX_HOST_LENGTH = 253
+CONFIGURATION_NAME = "current"
+# Shorter JSON gains too little from compression.
+COMPRESS_FROM_BYTES = 512
+# Hexadecimal digits of the keyed hash that name a key made elsewhere (96 bits).
+FOREIGN_ID_DIGITS = 24
+# No JSON text begins with this byte.
+COMPRESSED_MARK = b"\x01"
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 KEY_PATTERN = re.compile(rb"tfk_[0-9a-f]{12}_[0-9a-f]{40}", re.IGNORECASE)
 
@@ -51,7 +66,9 @@
         missing = sorted(
             name
             for name, field in known.items()
-            if field.default is dataclasses.MISSING and name not in data
+            if field.default is dataclasses.MISSING
+            and field.default_factory is dataclasses.MISSING
+            and name not in data
         )
         if missing:
             return _invalid(
@@ -96,7 +113,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Profile(Entity):
-    """Named overload behaviour; times in milliseconds."""
+    """Named overload behaviour; times in milliseconds.
+
+    goal_ms is the time within which an answer is worth most to its caller; 0 means the
+    deadline.
+    """
 
     name: str
     importance: str = "normal"
@@ -109,6 +130,7 @@
     balancer: str = "nearest"
     queue_ms: int = 500
     queue_length: int = 1000
+    goal_ms: int = 0
     revision: int = 0
 
     @property
@@ -133,6 +155,10 @@
                 f"attempts must be 0 to {MAX_ATTEMPTS}",
             ),
             (1 <= self.queue_ms <= MAX_DEADLINE_MS, "queue_ms must be at least 1"),
+            (
+                0 <= self.goal_ms <= MAX_DEADLINE_MS,
+                f"goal_ms must be 0 to {MAX_DEADLINE_MS}",
+            ),
             (1 <= self.queue_length <= 100_000, "queue_length must be 1 to 100000"),
             (self.idempotent or not self.hedging, "hedging needs idempotent calls"),
         )
@@ -152,7 +178,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Route(Entity):
-    """Picks a profile for calls by service, method and path prefix."""
+    """Picks a profile for calls by service or host, method and path prefix.
+
+    A route with a host serves the requests for that host; one without serves those
+    that name its service. Split maps services to the weights by which the route's
+    calls are shared among them; empty means that all go to the service.
+    """
 
     name: str
     service: str
@@ -160,8 +191,26 @@
     method: str = "*"
     path_prefix: str = "/"
     open: bool = False
+    host: str = ""
+    split: dict = dataclasses.field(default_factory=dict)
     revision: int = 0
 
+    @property
+    def services(self) -> list[str]:
+        """Services to which the route's calls may go."""
+        return list(self.split) or [self.service]
+
+    def service_for(self, fraction: float) -> str:
+        """Return the service at a fraction (0 to 1) of the summed weights."""
+        if not self.split:
+            return self.service
+        left = fraction * sum(self.split.values())
+        for name, weight in self.split.items():
+            left -= weight
+            if left < 0:
+                return name
+        return [name for name, weight in self.split.items() if weight][-1]
+
     def problem(self) -> str:
         """Return what is wrong with the values, or an empty string."""
         if _name_problem(self.name) or _name_problem(self.service):
@@ -170,27 +219,58 @@
             return "path_prefix must start with /"
         if self.method != "*" and not re.fullmatch(r"[A-Z]{1,16}", self.method):
             return "method must be * or an upper-case HTTP method"
+        if len(self.host) > MAX_HOST_LENGTH or self.host != self.host.lower():
+            return f"host must be lower-case, at most {MAX_HOST_LENGTH} characters"
+        return self._split_problem()
+
+    def _split_problem(self) -> str:
+        for name, weight in self.split.items():
+            if _name_problem(name):
+                return _name_problem(name)
+            if isinstance(weight, bool) or not isinstance(weight, int | float):
+                return f"the weight of {name!r} must be a number"
+            if not 0 <= weight <= MAX_WEIGHT:
+                return f"the weight of {name!r} must be 0 to {MAX_WEIGHT:g}"
+        if self.split and not any(self.split.values()):
+            return "the weights of split add up to 0"
         return ""
 
 
 @dataclasses.dataclass(slots=True)
 class Account(Entity):
-    """A client account with its fleet-wide rate (calls/s) and burst (calls)."""
+    """A client account with its fleet-wide rate (calls/s) and burst (calls).
+
+    Tolerance is how many calls above rate x time + burst its operator accepts, because
+    many entries share them. Unlimited accounts have no bound at all. Urgency orders
+    accounts before the importance of their calls; 0 is the most urgent.
+    """
 
     name: str
     rate: float
     burst: float
     weight: float = 1.0
+    unlimited: bool = False
+    urgency: int = 0
+    tolerance: float = 0.0
     revision: int = 0
 
+    @property
+    def capacity(self) -> float:
+        """Tokens that all entries together may hold."""
+        return self.burst + self.tolerance
+
     def problem(self) -> str:
         """Return what is wrong with the values, or an empty string."""
         if _name_problem(self.name):
             return _name_problem(self.name)
         if not 0 <= self.rate <= MAX_RATE or not 0 <= self.burst <= MAX_RATE:
             return f"rate and burst must be 0 to {MAX_RATE:g}"
+        if not 0 <= self.tolerance <= MAX_RATE:
+            return f"tolerance must be 0 to {MAX_RATE:g}"
         if not 0.001 <= self.weight <= 1000:
             return "weight must be 0.001 to 1000"
+        if not 0 <= self.urgency <= MAX_URGENCY:
+            return f"urgency must be 0 to {MAX_URGENCY}"
         return ""
 
 
@@ -241,15 +321,64 @@
     revision: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Service(Entity):
+    """A service that a configuration declares; connections are those of one target."""
+
+    name: str
+    max_connections: int = 500
+    revision: int = 0
+
+    def problem(self) -> str:
+        """Return what is wrong with the values, or an empty string."""
+        if _name_problem(self.name):
+            return _name_problem(self.name)
+        if not 1 <= self.max_connections <= 100_000:
+            return "max_connections must be 1 to 100000"
+        return ""
+
+
+@dataclasses.dataclass(slots=True)
+class Configuration(Entity):
+    """The whole configuration in force; sizes in bytes, times in milliseconds.
+
+    Version and digest are those of the document that an operator sent. The limits
+    bound what a caller may send and how long it may take; 0 leaves the settings'.
+    """
+
+    name: str = CONFIGURATION_NAME
+    version: int = 0
+    digest: str = ""
+    max_header: int = 0
+    max_body: int = 0
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+    revision: int = 0
+
+    def problem(self) -> str:
+        """Return what is wrong with the values, or an empty string."""
+        limits = (
+            self.max_header,
+            self.max_body,
+            self.header_timeout_ms,
+            self.idle_timeout_ms,
+        )
+        if min(limits) < 0:
+            return "limits must not be negative"
+        return ""
+
+
 class FleetState:
     """All replicated objects by name, at one revision."""
 
     __slots__ = (
         "accounts",
+        "configurations",
         "keys",
         "profiles",
         "revision",
         "routes",
+        "services",
         "slots",
         "targets",
     )
@@ -260,15 +389,25 @@
         self.routes: dict[str, Route] = {}
         self.accounts: dict[str, Account] = {}
         self.keys: dict[str, Key] = {}
+        self.services: dict[str, Service] = {}
+        # Empty, or the one configuration that was put as a whole.
+        self.configurations: dict[str, Configuration] = {}
         self.targets: dict[str, Target] = {}
         self.slots: dict[tuple[str, int], Slot] = {}
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration that was put as a whole, None before the first."""
+        return self.configurations.get(CONFIGURATION_NAME)
+
     def route_for(self, service: str, method: str, path: str) -> Route | None:
         """Return the route with the longest prefix; a method beats ``*``."""
         best: Route | None = None
         best_score = (-1, False)
         for route in self.routes.values():
-            if route.service != service or not path.startswith(route.path_prefix):
+            if route.host or route.service != service:
+                continue
+            if not path.startswith(route.path_prefix):
                 continue
             if route.method not in ("*", method):
                 continue
@@ -281,7 +420,7 @@
         """Return the account of a key, None unless the key is valid now."""
         parts = split_key(key_text)
         if parts is None:
-            return None
+            return self._account_of_foreign(key_text, fleet_secret)
         key = self.keys.get(parts[0])
         if key is None:
             return None
@@ -290,6 +429,13 @@
             return None
         return self.accounts.get(key.account)
 
+    def _account_of_foreign(self, text: str, fleet_secret: bytes) -> Account | None:
+        digest = key_digest(fleet_secret, text)
+        key = self.keys.get(foreign_key_id(digest))
+        if key is None or not hmac.compare_digest(digest, key.digest):
+            return None
+        return self.accounts.get(key.account)
+
     def targets_of(self, service: str) -> list[Target]:
         """Return the targets of a service in order of their names."""
         found = (item for item in self.targets.values() if item.service == service)
@@ -303,6 +449,8 @@
             "routes": [item.to_json() for item in self.routes.values()],
             "accounts": [item.to_json() for item in self.accounts.values()],
             "keys": [item.to_json() for item in self.keys.values()],
+            "services": [item.to_json() for item in self.services.values()],
+            "configurations": [item.to_json() for item in self.configurations.values()],
             "targets": [item.to_json() for item in self.targets.values()],
             "slots": [item.to_json() for item in self.slots.values()],
         }
@@ -317,6 +465,10 @@
         state.accounts = {item["name"]: Account(**item) for item in data["accounts"]}
         state.keys = {item["id"]: Key(**item) for item in data["keys"]}
         state.targets = {item["name"]: Target(**item) for item in data["targets"]}
+        state.services = {item["name"]: Service(**item) for item in data["services"]}
+        state.configurations = {
+            item["name"]: Configuration(**item) for item in data["configurations"]
+        }
         slots = (Slot(**item) for item in data["slots"])
         state.slots = {(slot.service, slot.number): slot for slot in slots}
         return state
@@ -349,14 +501,14 @@
         return True
 
     def to_bytes(self) -> bytes:
-        """Return the JSON encoding."""
+        """Return the JSON encoding, compressed when it is long."""
         fields = {"revision": self.revision, "puts": self.puts, "removes": self.removes}
-        return json.dumps(fields, separators=(",", ":")).encode()
+        return pack(json.dumps(fields, separators=(",", ":")).encode())
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "Delta":
         """Decode what to_bytes returned."""
-        fields = json.loads(data)
+        fields = json.loads(unpack(data))
         puts = [(table, item) for table, item in fields["puts"]]
         removes = [(table, name) for table, name in fields["removes"]]
         return cls(fields["revision"], puts, removes)
@@ -368,6 +520,8 @@
     "accounts": Account,
     "keys": Key,
     "targets": Target,
+    "services": Service,
+    "configurations": Configuration,
     "slots": Slot,
 }
 
@@ -380,6 +534,23 @@
         getattr(state, table)[item.id if table == "keys" else item.name] = item
 
 
+def pack(text: bytes) -> bytes:
+    """Return JSON as it is, or compressed if it is long."""
+    if len(text) < COMPRESS_FROM_BYTES:
+        return text
+    return COMPRESSED_MARK + zlib.compress(text, 1)
+
+
+def unpack(data: bytes) -> bytes:
+    """Return the JSON that pack was given; ValueError for anything else."""
+    if not data.startswith(COMPRESSED_MARK):
+        return data
+    try:
+        return zlib.decompress(data[len(COMPRESSED_MARK) :])
+    except zlib.error as error:
+        raise ValueError(f"not compressed JSON: {error}") from error
+
+
 def split_key(text: str) -> tuple[str, str] | None:
     """Return (id, secret) of a key's text, None if it has another form."""
     parts = text.split("_")
@@ -398,6 +569,17 @@
     return hmac.new(fleet_secret, secret.encode(), hashlib.sha256).hexdigest()
 
 
+def foreign_key_id(digest: str) -> str:
+    """Return the id of a key that was made elsewhere, from its keyed hash."""
+    return f"x{digest[:FOREIGN_ID_DIGITS]}"
+
+
+def foreign_key(fleet_secret: bytes, text: str, account: str) -> Key:
+    """Return the record of a key that was made elsewhere; its text is not kept."""
+    digest = key_digest(fleet_secret, text)
+    return Key(foreign_key_id(digest), account, digest)
+
+
 def slot_of(account: str, idempotency_key: str) -> int:
     """Return the slot number of an idempotency key of a client account."""
     digest = hashlib.blake2b(
--- a/toucanfold/owner.py
+++ b/toucanfold/owner.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from toucanfold import calls, link, messages, model, outcomes, records, views
+from toucanfold import clock as clocks
 
 # An intent that is not acknowledged by then is withdrawn; far above a round trip
 # inside a region (about 3 ms) and far below callers' deadlines.
@@ -57,7 +58,7 @@
         incarnation: int,
         sender: Sender,
         links: Links,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
         wall: Callable[[], float] = time.time,
     ):
         self.table = outcomes.Table(name, incarnation)
--- a/toucanfold/parts.py
+++ b/toucanfold/parts.py
@@ -19,6 +19,9 @@
     def subscribe(self, callback: Callable[[model.FleetState], None]) -> None:
         """Call back with each new state."""
 
+    async def set_ready(self, is_ready: bool) -> None:
+        """Announce whether this daemon's target takes calls."""
+
     async def drain(self) -> None:
         """Announce that this daemon takes no new calls."""
 
@@ -48,6 +51,10 @@
         for callback in self._callbacks:
             callback(self.state)
 
+    async def set_ready(self, is_ready: bool) -> None:
+        """Record the announcement."""
+        self.events.append("ready" if is_ready else "not ready")
+
     async def drain(self) -> None:
         """Record the announcement."""
         self.events.append("drain")
@@ -69,15 +76,19 @@
         self._source = source
         self._secret = fleet_secret
         self._revision = -1
-        self._routes: dict[str, list[model.Route]] = {}
+        self._routes: dict[tuple[str, str], list[model.Route]] = {}
         self._accounts: dict[str, model.Account] = {}
 
     def route(
-        self, service: str, method: str, path: str
+        self, host: str, service: str, method: str, path: str
     ) -> tuple[model.Route, model.Profile] | None:
-        """Return the route of a request and its profile."""
+        """Return the route of a request and its profile.
+
+        Routes of a host serve requests that name it, the others those that name a
+        service.
+        """
         self._follow()
-        for route in self._routes.get(service, ()):
+        for route in self._routes.get((host, "" if host else service), ()):
             if path.startswith(route.path_prefix) and route.method in ("*", method):
                 profile = self._source.state.profiles.get(route.profile)
                 return None if profile is None else (route, profile)
@@ -106,7 +117,8 @@
             state.routes.values(),
             key=lambda item: (-len(item.path_prefix), item.method == "*"),
         ):
-            self._routes.setdefault(route.service, []).append(route)
+            named = (route.host, "" if route.host else route.service)
+            self._routes.setdefault(named, []).append(route)
 
 
 class Rate(Protocol):
--- /dev/null
+++ b/toucanfold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product; it decides nothing."""
--- /dev/null
+++ b/toucanfold/platform/manifests.py
@@ -0,0 +1,211 @@
+"""Configurations as the platform's operators send and read them."""
+
+import json
+from typing import Any
+
+from absl import logging
+from returns import result
+
+from toucanfold import (
+    bodies,
+    commands,
+    configuration,
+    control,
+    exceptions,
+    httpserver,
+    model,
+    sharing,
+)
+
+PATH = "/config"
+_IMPORTANCE = ("critical", "important", "normal", "background")
+_KINDS = {"safe": True, "unsafe": False}
+_INVALID = "the configuration cannot be read"
+
+
+class Manifests:
+    """Answers the operators' calls at a control instance."""
+
+    def __init__(self, made: control.Control):
+        self._control = made
+
+    def protocol_refusal(self, status: int, message: str) -> httpserver.Response:
+        """Return the answer to a malformed request."""
+        return _text(status, message)
+
+    def check_head(self, request: httpserver.Request) -> httpserver.Response | None:
+        """Accept reads and changes of the configuration only."""
+        if request.path == PATH and request.method in ("GET", "PUT"):
+            return None
+        # Targets announce themselves to the daemon beside them.
+        return _text(503, "this instance answers GET and PUT of the configuration")
+
+    async def handle(self, request: httpserver.Request) -> httpserver.Response:
+        """Return the newest configuration, or put one in force."""
+        if request.method == "GET":
+            return await self._read()
+        try:
+            body = await bodies.whole(request.body, request.body_stream)
+        except exceptions.BodyAbortedError:
+            return _text(400, "the body broke off")
+        read = to_command(body, self._control.secret, self._control.rate_bound)
+        if isinstance(read, result.Failure):
+            logging.info("configuration refused: %s", read.failure().message)
+            return _text(400, read.failure().message)
+        return await self._put(read.unwrap())
+
+    async def _read(self) -> httpserver.Response:
+        document = await self._control.read_document()
+        if not document:
+            return _text(503, "the newest configuration is not known here")
+        fields = [(b"content-type", b"application/json")]
+        return httpserver.Response(200, fields, document.encode())
+
+    async def _put(self, command: commands.ReplaceConfiguration) -> httpserver.Response:
+        outcome = await self._control.replace_configuration(command)
+        if isinstance(outcome, result.Success):
+            return _text(200, "accepted")
+        error = outcome.failure()
+        if isinstance(error, exceptions.ConflictError):
+            return _text(412, error.message)
+        if isinstance(error, exceptions.ValidationError):
+            return _text(400, error.message)
+        return _text(503, error.message)
+
+
+def to_command(
+    body: bytes, fleet_secret: bytes, rate_bound: sharing.RateBound
+) -> configuration.Read:
+    """Return the command of a configuration's text, or why it is invalid."""
+    try:
+        text = body.decode("utf-8")
+        content = json.loads(text)
+        version = int(content["version"], 16)
+        base = int(content.get("base_version") or "0", 16)
+        items = _items(content, fleet_secret, rate_bound)
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+        return configuration.invalid(f"{_INVALID}: {error!r}")
+    except exceptions.ValidationError as error:
+        return result.Failure(error)
+    return configuration.command(version, base, content, text, items)
+
+
+def _items(
+    content: dict[str, Any], fleet_secret: bytes, rate_bound: sharing.RateBound
+) -> list[model.Entity]:
+    items: list[model.Entity] = [_limits(content.get("limits") or {})]
+    profiles: dict[str, model.Entity] = {}
+    for row in _rows(content["routes"]):
+        profile = _profile(row)
+        profiles.setdefault(profile.name, profile)
+        items.append(_route(row, profile.name))
+    items += profiles.values()
+    for row in _rows(content["services"]):
+        items.append(_checked(model.Service, _service(row)))
+    for row in _rows(content.get("tenants") or {"columns": [], "rows": []}):
+        items += _account(row, fleet_secret, rate_bound)
+    return items
+
+
+def _rows(table: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return the rows of a table with named fields; null fields are left out."""
+    columns = table["columns"]
+    rows = []
+    for values in table["rows"]:
+        pairs = zip(columns, values, strict=True)
+        rows.append({name: value for name, value in pairs if value is not None})
+    return rows
+
+
+def _limits(limits: dict[str, Any]) -> model.Configuration:
+    return _checked(
+        model.Configuration,
+        {
+            "name": model.CONFIGURATION_NAME,
+            "max_header": limits.get("max_header_bytes", 0),
+            "max_body": limits.get("max_body_bytes", 0),
+            "header_timeout_ms": limits.get("header_timeout_ms", 0),
+            "idle_timeout_ms": limits.get("idle_timeout_ms", 0),
+        },
+    )
+
+
+def _profile(row: dict[str, Any]) -> model.Profile:
+    """Return the profile of a route; routes with the same behaviour share one."""
+    kind, priority = row["kind"], int(row.get("priority", 0))
+    attempts, timeout_ms = row["max_attempts"], row["timeout_ms"]
+    goal_ms = row.get("target_latency_ms", 0)
+    if attempts < 1:
+        raise ValueError("max_attempts must be at least 1")
+    return _checked(
+        model.Profile,
+        {
+            "name": f"{kind}-{priority}-{timeout_ms}-{goal_ms}-{attempts}",
+            "importance": _IMPORTANCE[min(priority, len(_IMPORTANCE) - 1)],
+            "idempotent": _KINDS[kind],
+            "deadline_ms": timeout_ms,
+            # The platform counts the first attempt too.
+            "attempts": min(attempts - 1, model.MAX_ATTEMPTS),
+            "goal_ms": goal_ms,
+            "limiter": "places",
+        },
+    )
+
+
+def _route(row: dict[str, Any], profile: str) -> model.Route:
+    split: dict[str, Any] = {}
+    for part in row.get("weighted_services") or ():
+        split[part["service"]] = split.get(part["service"], 0) + part["weight"]
+    return _checked(
+        model.Route,
+        {
+            "name": row["name"],
+            "service": row.get("service") or next(iter(split)),
+            "profile": profile,
+            "path_prefix": row["prefix"],
+            "open": bool(row.get("no_auth", False)),
+            "host": row["host"].lower(),
+            "split": split,
+        },
+    )
+
+
+def _service(row: dict[str, Any]) -> dict[str, Any]:
+    found = {"name": row["name"]}
+    if row.get("max_connections"):
+        found["max_connections"] = row["max_connections"]
+    return found
+
+
+def _account(
+    row: dict[str, Any], fleet_secret: bytes, rate_bound: sharing.RateBound
+) -> list[model.Entity]:
+    rate, burst = row.get("rate_per_s", 0), row.get("burst", 0)
+    account = _checked(
+        model.Account,
+        {
+            "name": row["name"],
+            "rate": rate,
+            "burst": burst,
+            "tolerance": rate_bound.tolerance(rate, burst),
+            "unlimited": not rate,
+            "urgency": min(row.get("priority", 0), model.MAX_URGENCY),
+        },
+    )
+    keys = [
+        model.foreign_key(fleet_secret, text, account.name)
+        for text in row.get("api_keys", ())
+    ]
+    return [account, *keys]
+
+
+def _checked(kind: type[model.Item], fields: dict[str, Any]) -> model.Item:
+    made = kind.from_json(fields)
+    if isinstance(made, result.Failure):
+        raise made.failure()
+    return made.unwrap()
+
+
+def _text(status: int, message: str) -> httpserver.Response:
+    fields = [(b"content-type", b"text/plain")]
+    return httpserver.Response(status, fields, f"{message}\n".encode())
--- /dev/null
+++ b/toucanfold/presence.py
@@ -0,0 +1,105 @@
+"""What a daemon knows of the instance of its own target.
+
+Where targets announce themselves, calls go only to the newest instance that said it is
+ready. Where they do not, the target is taken to be there.
+"""
+
+import dataclasses
+
+from toucanfold import calls
+
+RETRY_AFTER_MS = 200
+# Ended instances that are remembered, to refuse their late announcements.
+KEPT_ENDED = 64
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Announcement:
+    """One announcement of a target.
+
+    Born is the instance's start in milliseconds since 1970; sequence rises with each
+    announcement. Cold_s is how much longer the target stays slow after its start.
+    """
+
+    instance: str
+    born: int
+    sequence: int
+    is_ready: bool
+    places: int
+    cold_s: float = 0.0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """What tells a newer announcement from a late one."""
+        return self.born, self.sequence
+
+
+class Presence:
+    """The newest instance of the daemon's target and whether it takes calls."""
+
+    __slots__ = ("_cold_until", "_ended", "_heard_at", "_must_announce", "_newest")
+
+    def __init__(self, must_announce: bool = False):
+        self._must_announce = must_announce
+        self._newest: Announcement | None = None
+        self._ended: dict[str, int] = {}
+        self._heard_at = float("-inf")
+        self._cold_until = float("-inf")
+
+    @property
+    def instance(self) -> str:
+        """Id of the newest instance, empty if none is known."""
+        return "" if self._newest is None else self._newest.instance
+
+    @property
+    def places(self) -> int:
+        """Calls that the target works on at a time, 0 if it has not said."""
+        return 0 if self._newest is None else self._newest.places
+
+    @property
+    def accepts_calls(self) -> bool:
+        """Whether calls may be sent to the target."""
+        if self._newest is None:
+            return not self._must_announce
+        return self._newest.is_ready and not self._has_ended(self._newest)
+
+    def silence_s(self, now: float) -> float:
+        """Return the seconds since the newest instance was last heard of."""
+        return now - self._heard_at
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the target is still slow after its start."""
+        return now < self._cold_until
+
+    def on_announcement(self, now: float, heard: Announcement) -> bool:
+        """Take an announcement; False if a newer one is known."""
+        if self._newest is not None and heard.order <= self._newest.order:
+            return False
+        if self._has_ended(heard):
+            return False
+        self._newest = heard
+        self._heard_at = now
+        self._cold_until = now + heard.cold_s
+        return True
+
+    def on_left(self, now: float, instance: str) -> bool:
+        """Note that an instance takes no more calls; False if it is not the newest."""
+        newest = self._newest
+        if newest is None or newest.instance != instance:
+            return False
+        self._ended.pop(instance, None)
+        self._ended[instance] = newest.born
+        while len(self._ended) > KEPT_ENDED:
+            del self._ended[next(iter(self._ended))]
+        return True
+
+    def refuse(self) -> calls.Answer:
+        """Return the refusal of a call while the target takes none."""
+        kind, message = calls.Kind.NO_TARGET, "the target has not announced itself"
+        if self._newest is not None:
+            kind, message = calls.Kind.STOPPING, f"target {self.instance} is leaving"
+        return calls.refuse(kind, message, retry_after_ms=RETRY_AFTER_MS)
+
+    def _has_ended(self, heard: Announcement) -> bool:
+        # An id may start again later; what was said of its earlier start stays ended.
+        return heard.born <= self._ended.get(heard.instance, -1)
--- a/toucanfold/raft.py
+++ b/toucanfold/raft.py
@@ -18,6 +18,7 @@
 from toucanfold.rafttypes import (
     ANNOUNCE_S,
     MAX_COMMAND_BYTES,
+    ORPHAN_S,
     Founding,
     Kind,
     Ready,
@@ -38,11 +39,13 @@
         "_announce_at",
         "_founder",
         "_handlers",
+        "_own_address",
         "_partial",
         "_pending_snapshot",
         "_saved_vote",
         "_stored_vote",
         "announced",
+        "announced_addresses",
         "commit_index",
     )
 
@@ -57,8 +60,10 @@
     ):
         super().__init__(key, vote, log, rng, now)
         self.commit_index = log.snapshot.index
-        # Ids of instances that wait to be added, by name.
+        # Ids of instances that wait to be added, by name, and their addresses.
         self.announced: dict[str, str] = {}
+        self.announced_addresses: dict[str, str] = {}
+        self._own_address = plan.own_address
         self._founder = founding.Founder(key, plan)
         self._saved_vote = self._stored_vote = vote
         self._announce_at = now
@@ -86,6 +91,7 @@
             self.leader = ""
             if self.key in self.membership.voters:
                 self._start_pre_vote(now)
+            self._ask_back(now)
 
     def on_message(self, now: float, message: messages.Raft) -> None:
         """Handle a message; those for another id of this name are dropped.
@@ -176,6 +182,12 @@
         """Return (number, index to apply first) of the confirmed reads."""
         return self._lead.take_reads() if self._lead is not None else []
 
+    def note_waiting(self, name: str, member_id: str, address: str) -> None:
+        """Note an instance that waits to be added, also if another member heard it."""
+        if members.member_key(name, member_id) not in self.membership:
+            self.announced[name] = member_id
+            self.announced_addresses[name] = address
+
     def change_members(
         self, now: float, change: members.MemberChange
     ) -> result.Result[int, exceptions.ToucanfoldError]:
@@ -246,6 +258,26 @@
             self._announce_at = now + ANNOUNCE_S
             self._late += self._founder.announcements()
 
+    def _ask_back(self, now: float) -> None:
+        """Announce this member to the others when no leader has written to it.
+
+        It may have been replaced while it was away, and then waits to be added again.
+        """
+        if now < max(self._heard_at + ORPHAN_S, self._announce_at):
+            return
+        self._announce_at = now + ANNOUNCE_S
+        for member in self.membership.members:
+            if member.key != self.key:
+                self._late.append(
+                    messages.Raft(
+                        kind=int(Kind.ANNOUNCE),
+                        sender=self.key,
+                        receiver=member.key,
+                        granted=True,
+                        address=self._own_address,
+                    )
+                )
+
     def _found(self, now: float, entry: messages.Entry) -> None:
         self.log.append([entry])
         self.role = Role.FOLLOWER
@@ -260,7 +292,7 @@
             return
         name, _, member_id = message.sender.partition(members.SEPARATOR)
         if message.sender not in self.membership:
-            self.announced[name] = member_id
+            self.note_waiting(name, member_id, message.address)
         elif self.log.first_index == 1:
             reply = self._reply(Kind.FOUNDED, message)
             reply.entries = self.log.slice(1, 1, 1)
--- a/toucanfold/raftbench.py
+++ b/toucanfold/raftbench.py
@@ -18,7 +18,7 @@
 from absl import flags, logging
 from returns import result
 
-from toucanfold import cmdline, files, link, messages, replica, storage
+from toucanfold import clock, cmdline, files, link, messages, replica, storage
 from toucanfold.rafttypes import Founding
 
 HOST = "127.0.0.1"
@@ -286,7 +286,7 @@
     logging.set_verbosity(logging.ERROR)
     folder = pathlib.Path(tempfile.mkdtemp(prefix="raftbench-", dir=values.folder))
     try:
-        found = asyncio.run(measure(folder, values.count, values.port))
+        found = clock.run(measure(folder, values.count, values.port))
     finally:
         shutil.rmtree(folder)
     machine = {
--- a/toucanfold/rafttypes.py
+++ b/toucanfold/rafttypes.py
@@ -10,6 +10,8 @@
 ELECTION_MAX_S = 0.9
 # How often an instance without state announces itself to the others.
 ANNOUNCE_S = 0.2
+# A member that heard no leader for this long asks whether it was replaced.
+ORPHAN_S = 2.0
 MAX_COMMAND_BYTES = 512 * 1024
 # Entries kept before a snapshot, for followers that are a little behind.
 KEEP_ENTRIES = 500
@@ -70,3 +72,4 @@
 
     addresses: dict[str, str]
     joining: bool = False
+    own_address: str = ""
--- a/toucanfold/replica.py
+++ b/toucanfold/replica.py
@@ -3,14 +3,14 @@
 import asyncio
 import concurrent.futures
 import random
-import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from absl import logging
 from returns import result
 
-from toucanfold import exceptions, members, messages, raft, raftlog, storage
+from toucanfold import clock as clocks
+from toucanfold import exceptions, joins, members, messages, raft, raftlog, storage
 from toucanfold.rafttypes import KEEP_ENTRIES, Founding, Ready
 
 TICK_S = 0.02
@@ -47,7 +47,7 @@
         send: Callable[[str, messages.Raft], bool],
         rng: random.Random,
         snapshot_entries: int = SNAPSHOT_ENTRIES,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.now,
     ):
         self.applied_index = store.snapshot.index
         self._store = store
@@ -159,6 +159,25 @@
         """Tell how many further losses the voters can bear with a change (leader)."""
         return self._raft.forecast(self._clock(), change)
 
+    def membership(self) -> members.Membership:
+        """Return the latest membership in the log, committed or not."""
+        return self._raft.membership
+
+    def waiting(self) -> dict[str, joins.Waiting]:
+        """Return the instances that wait to be added, by name."""
+        return {
+            name: joins.Waiting(member_id, self._raft.announced_addresses[name])
+            for name, member_id in self._raft.announced.items()
+        }
+
+    def note_waiting(self, name: str, member_id: str, address: str) -> None:
+        """Note an instance that another member heard waiting."""
+        self._raft.note_waiting(name, member_id, address)
+
+    def reachable(self) -> set[str]:
+        """Return the keys of the members heard lately (leader only)."""
+        return self._raft.reachable(self._clock())
+
     async def transfer_leadership(self) -> None:
         """Hand the lead over, and return when it is given up or nobody takes it."""
         if not self._raft.transfer_leadership(self._clock()):
--- a/toucanfold/retries.py
+++ b/toucanfold/retries.py
@@ -15,6 +15,11 @@
 # The quantile is computed again after this many samples, to keep answers cheap.
 HEDGE_REFRESH = 16
 
+# Parts of a fleet-wide bound on repeats that are used. A repeated call repeats its own
+# calls too, which count at the services that it calls, several times over.
+REPEAT_PART_USED = 0.2
+REPEAT_CALLS_USED = 0.75
+
 _RETRYABLE = frozenset(
     (
         calls.Kind.OVERLOADED,
@@ -28,21 +33,39 @@
 
 
 class Budgets:
-    """Retry tokens of this daemon per called service."""
-
-    __slots__ = ("_tokens",)
-
-    def __init__(self) -> None:
+    """Retry tokens of this daemon per called service.
+
+    A fleet-wide bound of repeats holds if each daemon earns at most its part of its own
+    calls and keeps at most an equal share of the repeats that are allowed besides.
+    Daemons start without tokens then, since many may restart in one span.
+    """
+
+    __slots__ = ("_capacity", "_earned", "_start", "_tokens")
+
+    def __init__(
+        self,
+        earned: float = TOKENS_PER_SUCCESS,
+        capacity: float = CAPACITY,
+        start: float = CAPACITY,
+    ) -> None:
+        self._earned = earned
+        self._capacity = capacity
+        self._start = start
         self._tokens: dict[str, float] = {}
 
+    def share(self, calls_allowed: float, daemons: int) -> None:
+        """Keep at most an equal share of the repeats that all daemons may save up."""
+        share = REPEAT_CALLS_USED * calls_allowed / max(1, daemons)
+        self._capacity = max(1.0, share)
+
     def on_success(self, now: float, service: str) -> None:
         """Earn a part of a token."""
-        tokens = self._tokens.get(service, CAPACITY)
-        self._tokens[service] = min(CAPACITY, tokens + TOKENS_PER_SUCCESS)
+        tokens = self._tokens.get(service, self._start)
+        self._tokens[service] = min(self._capacity, tokens + self._earned)
 
     def take(self, now: float, service: str) -> bool:
         """Spend a token on a retry; False if the service has none left."""
-        tokens = self._tokens.get(service, CAPACITY)
+        tokens = self._tokens.get(service, self._start)
         # Sums of 0.1 are a little less than whole numbers.
         if tokens < 1.0 - 1e-9:
             return False
@@ -51,8 +74,8 @@
 
     def give_back(self, service: str) -> None:
         """Return the token of a retry that was not sent."""
-        tokens = self._tokens.get(service, CAPACITY)
-        self._tokens[service] = min(CAPACITY, tokens + 1.0)
+        tokens = self._tokens.get(service, self._start)
+        self._tokens[service] = min(self._capacity, tokens + 1.0)
 
 
 class Allowance:
--- a/toucanfold/routingbench.py
+++ b/toucanfold/routingbench.py
@@ -1,6 +1,5 @@
 """Measures routing and records on fakes: ``python -m toucanfold.routingbench``."""
 
-import asyncio
 import heapq
 import platform
 import random
@@ -11,6 +10,7 @@
 
 from toucanfold import (
     calls,
+    clock,
     forward,
     messages,
     model,
@@ -36,7 +36,7 @@
     print(f"python {platform.python_version()} on {platform.machine()}")
     _picks()
     _spread()
-    asyncio.run(_forwarding())
+    clock.run(_forwarding())
     _memory()
     _plans()
     return 0
--- a/toucanfold/sharing.py
+++ b/toucanfold/sharing.py
@@ -20,6 +20,28 @@
 MIN_SURPLUS = 1.0
 
 
+# Part of an accepted overage that is used. The rest covers calls which reach their
+# target later than they were admitted.
+OVERAGE_USED = 0.8
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RateBound:
+    """What operators accept above an account's rate in any span of window_s seconds.
+
+    It is a part of what rate and burst allow in that span, and a number of calls.
+    """
+
+    window_s: float
+    part: float
+    calls: float
+
+    def tolerance(self, rate: float, burst: float) -> float:
+        """Return the calls above rate x time + burst that one account may run."""
+        allowed = self.part * (rate * self.window_s + burst) + self.calls
+        return OVERAGE_USED * allowed
+
+
 @dataclasses.dataclass(slots=True)
 class Offer:
     """One holder's offered rate, wanted capacity and present tokens."""
--- a/toucanfold/slots.py
+++ b/toucanfold/slots.py
@@ -41,7 +41,7 @@
         target = self.by_name.get(name)
         if target is None or target.incarnation != incarnation:
             return False
-        return target.state in ("up", "draining")
+        return target.state in model.ALIVE_STATES
 
     def is_up(self, name: str, incarnation: int) -> bool:
         """Whether the incarnation may keep its role."""
--- a/toucanfold/store.py
+++ b/toucanfold/store.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_cached_snapshot",
         "_deltas",
+        "_document",
         "_latest_at",
         "_operations",
         "index",
@@ -60,6 +61,7 @@
         self.state = model.FleetState()
         self.index = 0
         self.listeners: list[Callable[[], None]] = []
+        self._document = ""
         self._operations: collections.OrderedDict[str, Operation] = (
             collections.OrderedDict()
         )
@@ -74,6 +76,14 @@
         """Number of commands that changed the state."""
         return self.state.revision
 
+    @property
+    def document(self) -> str:
+        """The text of the configuration in force, empty before the first.
+
+        Daemons have no use for it, so it is not part of the watched state.
+        """
+        return self._document
+
     def apply(self, index: int, data: bytes) -> dict[str, Any]:
         """Apply one committed command and return its outcome."""
         self.index = index
@@ -89,7 +99,9 @@
         if known is not None:
             return known.outcome if known.digest == digest else self._reused()
         outcome = self._execute(command)
-        self._keep(command.operation, Operation(self._latest_at, digest, outcome))
+        # A configuration that was refused may be applied later, on top of another one.
+        if outcome["ok"] or not isinstance(command, commands.ReplaceConfiguration):
+            self._keep(command.operation, Operation(self._latest_at, digest, outcome))
         return outcome
 
     def find_operation(self, operation: str) -> dict[str, Any] | None:
@@ -134,6 +146,7 @@
             "latest_at": self._latest_at,
             "state": self.state.to_json(),
             "operations": operations,
+            "document": self._document,
         }
         return json.dumps(fields, separators=(",", ":")).encode()
 
@@ -143,6 +156,7 @@
         self.index = fields["index"]
         self._latest_at = fields["latest_at"]
         self.state = model.FleetState.from_json(fields["state"])
+        self._document = fields["document"]
         self._operations.clear()
         for name, at, digest, outcome in fields["operations"]:
             self._operations[name] = Operation(at, digest, outcome)
@@ -167,6 +181,8 @@
         if isinstance(planned, result.Failure):
             return self._refusal(planned.failure())
         puts, removes = planned.unwrap()
+        if isinstance(command, commands.ReplaceConfiguration):
+            self._document = command.document
         if puts or removes:
             self._change(puts, removes)
         outcome: dict[str, Any] = {"ok": True, "revision": self.revision}
@@ -207,7 +223,7 @@
     The time is left out since it differs between sends, and so is what control
     itself made up for a new key.
     """
-    fields = json.loads(commands.encode(command))
+    fields = json.loads(model.unpack(commands.encode(command)))
     for name in ("operation", "at"):
         del fields[name]
     if isinstance(command, commands.IssueKey):
@@ -267,12 +283,15 @@
         return _invalid(message, "put the profile first")
     for other in state.routes.values():
         same = (
-            other.service == item["service"]
+            (other.host or other.service) == (item["host"] or item["service"])
+            and bool(other.host) == bool(item["host"])
             and other.method == item["method"]
             and other.path_prefix == item["path_prefix"]
         )
         if same and other.name != item["name"]:
-            message = f"route {other.name!r} has the same service, method and prefix"
+            message = (
+                f"route {other.name!r} has the same service or host, method and prefix"
+            )
             return _invalid(message, "change that route or delete it first")
     return None
 
@@ -373,6 +392,48 @@
     return result.Success(([("slots", item) for item in command.slots], []))
 
 
+# Tables that a configuration replaces as a whole.
+CONFIGURED_TABLES = (
+    "profiles",
+    "routes",
+    "accounts",
+    "keys",
+    "services",
+    "configurations",
+)
+
+
+def _plan_configuration(
+    state: model.FleetState, command: commands.ReplaceConfiguration
+) -> Planned:
+    """Return the differences between the present configuration and the new one."""
+    present = state.configuration
+    version = present.version if present else 0
+    revision = present.revision if present else 0
+    if command.base != version:
+        message = f"version {version} is in force, not {command.base}"
+        return _conflict(message, revision)
+    if command.version <= version:
+        return _invalid(
+            f"version {command.version} is not above {version}",
+            "choose a higher version",
+        )
+    puts: Puts = []
+    removes: Removes = []
+    for table in CONFIGURED_TABLES:
+        known = getattr(state, table)
+        wanted = {
+            item["id" if table == "keys" else "name"]: item
+            for item in command.tables.get(table, ())
+        }
+        removes += [(table, name) for name in known if name not in wanted]
+        for name, item in wanted.items():
+            old = known.get(name)
+            if old is None or {**old.to_json(), "revision": 0} != item:
+                puts.append((table, item))
+    return result.Success((puts, removes))
+
+
 _PLANNERS: tuple[tuple[type[commands.Command], Callable[[Any, Any], Planned]], ...] = (
     (commands.Put, _plan_put),
     (commands.Delete, _plan_delete),
@@ -382,4 +443,5 @@
     (commands.SetTargetState, _plan_state),
     (commands.AssignSlots, _plan_slots),
     (commands.ConfirmEnded, _plan_ended),
+    (commands.ReplaceConfiguration, _plan_configuration),
 )
--- a/toucanfold/views.py
+++ b/toucanfold/views.py
@@ -122,7 +122,7 @@
         self.alive = {
             target.incarnation
             for target in state.targets.values()
-            if target.state in ("up", "draining")
+            if target.state in model.ALIVE_STATES
         }
         self.alive.add(self._me[1])
         for key, slot in state.slots.items():
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -1,6 +1,7 @@
 """Daemon's side of the watch: one link to the nearest instance that works."""
 
 import asyncio
+import hashlib
 import random
 import secrets
 import ssl
@@ -88,6 +89,9 @@
     ):
         self._identity = identity
         self._addresses = addresses
+        # The addresses of the settings; instances told by control go before them.
+        self._seeds = list(addresses)
+        self._must_return = False
         self._announcement = announcement
         self._holder = holder
         self._tls = tls
@@ -125,6 +129,16 @@
         if self._holder is not None and self._holder.wants_ping(now):
             self._wake.set()
 
+    def announce_as(self, is_ready: bool) -> None:
+        """Set how the target is announced first; before start."""
+        self._announcement.state = "up" if is_ready else "waiting"
+
+    async def set_ready(self, is_ready: bool) -> None:
+        """Announce whether the target takes calls; does not wait for control."""
+        if self._announcement.state in ("up", "waiting"):
+            self._announcement.state = "up" if is_ready else "waiting"
+            self._wake.set()
+
     async def drain(self) -> None:
         """Announce draining; return when control has it or after 3 s."""
         await self._announce("draining", ("draining", "left"))
@@ -173,6 +187,8 @@
             self._publish(now)
             # Confirm the revision, or ask for the rest if it did not fit into a pong.
             self._wake.set()
+        if message.instances:
+            self._learn(message.instances)
         if sent_at is not None:
             self._answered_at = now
             self._silences = 0
@@ -184,6 +200,24 @@
         if closed is self._link:
             self._wake.set()
 
+    def _learn(self, instances: list[messages.Instance]) -> None:
+        """Take the present members of control as addresses, nearest first."""
+        own = self._identity
+
+        def distance(instance: messages.Instance) -> tuple[bool, bool, bytes]:
+            text = f"{own.name} {instance.address}".encode()
+            return (
+                instance.data_centre != own.data_centre,
+                instance.region != own.region,
+                hashlib.blake2b(text, digest_size=8).digest(),
+            )
+
+        known = [item.address for item in sorted(instances, key=distance)]
+        others = [address for address in self._seeds if address not in known]
+        # A first move to the nearest instance need not wait for the usual time.
+        self._must_return = self._addresses == self._seeds
+        self._addresses = known + others
+
     def _publish(self, now: float) -> None:
         self.state = self._known.state
         if self._holder is not None:
@@ -279,8 +313,11 @@
 
     def _should_return(self, now: float, started_at: float) -> bool:
         nearest = self._addresses[0]
-        if self._address == nearest or now - started_at < RETURN_S:
+        if self._address == nearest:
+            return False
+        if now - started_at < RETURN_S and not self._must_return:
             return False
+        self._must_return = False
         return self._returning is None and self._avoid.get(nearest, 0.0) <= now
 
     async def _return(self) -> None:
--- a/toucanfold/watchbench.py
+++ b/toucanfold/watchbench.py
@@ -24,7 +24,7 @@
 
 from absl import flags
 
-from toucanfold import adminclient, cmdline, limits, link, messages, watch
+from toucanfold import adminclient, clock, cmdline, limits, link, messages, watch
 
 FLAGS = flags.FlagValues()
 flags.DEFINE_integer("watchers", 24, "Number of watchers.", flag_values=FLAGS)
@@ -177,7 +177,7 @@
     first: int, count: int, addresses: list[str], pipe: connection.Connection
 ) -> None:
     setattr(link, "Link", CountingLink)  # noqa: B010
-    asyncio.run(_watch_all(first, count, addresses, pipe))
+    clock.run(_watch_all(first, count, addresses, pipe))
 
 
 class Group:
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -39,6 +39,8 @@
     incarnation: int
     applied_revision: int = 0
     pings: int = 0
+    # What the daemon was told of the members of control.
+    instances: list[messages.Instance] = dataclasses.field(default_factory=list)
 
 
 class Watchers:
@@ -136,7 +138,7 @@
             return
         for (session, ping), grants in zip(batch, reply["grants"], strict=True):
             if grants is not None:
-                session.link.send(self._pong(ping, reply["term"], grants))
+                session.link.send(self._pong(session, ping, reply["term"], grants))
 
     def _pack(self, session: Session, ping: messages.WatchPing) -> dict[str, Any]:
         packed: dict[str, Any] = {
@@ -168,7 +170,7 @@
         return announcement_values(present) == announcement_values(announcement)
 
     def _pong(
-        self, ping: messages.WatchPing, term: int, grants: Any
+        self, session: Session, ping: messages.WatchPing, term: int, grants: Any
     ) -> messages.WatchPong:
         pong = messages.WatchPong(
             sequence=ping.sequence,
@@ -177,6 +179,9 @@
             raft_term=term,
             shares=[messages.Share(*fields) for fields in grants],
         )
+        instances = self._cluster.instances()
+        if instances != session.instances:
+            session.instances = pong.instances = instances
         deltas = self._store.deltas_since(ping.applied_revision, MAX_DELTA_BYTES)
         if deltas is not None:
             pong.deltas = deltas
