Log decisions on requests, compress relays between control instances

Cause: neither the share that refused a call nor the path of a request could be seen; and JSON relays between regions are paid by volume.

--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,504 @@
+"""The platform's protocol without its bench."""
+
+import asyncio
+import json
+import pathlib
+import subprocess
+import sys
+
+import pytest
+from helpers import SECRET, FakeReplica, run
+from returns import result
+
+from toucanfold import (
+    calls,
+    cluster,
+    commands,
+    configuration,
+    dialect,
+    headers,
+    httpclient,
+    httpserver,
+    leadership,
+    link,
+    model,
+    parts,
+    presence,
+    sharing,
+    store,
+)
+from toucanfold.platform import announcements, fields, manifests
+
+NO_OVERAGE = sharing.RateBound(5, 0, 0)
+COLUMNS = {
+    "routes": [
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout_ms",
+        "target_latency_ms",
+        "priority",
+        "service",
+        "max_attempts",
+        "no_auth",
+        "weighted_services",
+    ],
+    "services": ["name", "health_path", "max_connections", "protocol", "tls"],
+    "tenants": ["name", "api_keys", "priority", "rate_per_s", "burst"],
+}
+
+
+def table(name, *rows):
+    return {"columns": COLUMNS[name], "rows": [list(row) for row in rows]}
+
+
+def manifest(version=1, base=0, **changes):
+    """Return a valid configuration as the platform's operators write it."""
+    content = {
+        "version": f"{version:08x}",
+        "routes": table(
+            "routes",
+            ("r1", "a.example", "/x/", "unsafe", 800, 1500, 0, "s1", 2, False, None),
+            (
+                "r2",
+                "b.example",
+                "/",
+                "safe",
+                6000,
+                1500,
+                2,
+                None,
+                2,
+                True,
+                [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            ),
+        ),
+        "services": table(
+            "services",
+            ("s1", "/health", 532, "h1", False),
+            ("s2", "/health", 196, "h1", False),
+        ),
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": table("tenants", ("t1", ["key-of-t1", "other-key"], 1, 102, 102)),
+        "base_version": f"{base:08x}",
+    }
+    content.update(changes)
+    return content
+
+
+def read(content):
+    body = content if isinstance(content, bytes) else json.dumps(content).encode()
+    return manifests.to_command(body, SECRET, NO_OVERAGE)
+
+
+def with_route(**changes):
+    values = dict(zip(COLUMNS["routes"], manifest()["routes"]["rows"][0], strict=True))
+    values.update(changes)
+    row = [values[name] for name in COLUMNS["routes"]]
+    return manifest(routes=table("routes", row))
+
+
+INVALID = {
+    "cut short": json.dumps(manifest()).encode()[:-20],
+    "unknown service": with_route(service="s9"),
+    "no attempts": with_route(max_attempts=0),
+    "odd kind": with_route(kind="perhaps"),
+    "no timeout": with_route(timeout_ms=0),
+    "no weight": with_route(
+        service=None, weighted_services=[{"service": "s1", "weight": 0}]
+    ),
+    "negative weight": with_route(
+        service=None, weighted_services=[{"service": "s1", "weight": -1}]
+    ),
+    "shared key": manifest(
+        tenants=table(
+            "tenants", ("t1", ["same"], 1, 10, 10), ("t2", ["same"], 1, 10, 10)
+        )
+    ),
+    "same place": manifest(
+        routes=table(
+            "routes",
+            ("r1", "a.example", "/x/", "safe", 800, 0, 0, "s1", 2, False, None),
+            ("r2", "a.example", "/x/", "safe", 800, 0, 0, "s2", 2, False, None),
+        )
+    ),
+    "version zero": manifest(version=0),
+    "version not a number": manifest(version=1) | {"version": "soon"},
+    "no routes": {"version": "00000001"},
+    "not an object": b"[1, 2]",
+    "row too short": manifest(routes={"columns": ["name", "host"], "rows": [["r"]]}),
+}
+
+
+@pytest.mark.parametrize("name", INVALID)
+def test_invalid_configuration_is_refused(name):
+    """Guards against the acknowledgement of an invalid configuration."""
+    assert isinstance(read(INVALID[name]), result.Failure)
+
+
+def test_configuration_becomes_the_products_entities():
+    state = applied(read(manifest()).unwrap()).state
+    split = state.routes["r2"]
+    assert split.split == {"s1": 90, "s2": 10} and split.open
+    profile = state.profiles[state.routes["r1"].profile]
+    assert not profile.idempotent
+    assert (profile.importance, profile.deadline_ms, profile.goal_ms) == (
+        "critical",
+        800,
+        1500,
+    )
+    assert profile.attempts == 1
+    assert state.account_of("key-of-t1", SECRET).name == "t1"
+    assert state.account_of("key-of-t2", SECRET) is None
+    assert state.services["s2"].max_connections == 196
+    assert state.configuration.idle_timeout_ms == 15000
+
+
+def test_text_of_a_key_is_not_stored():
+    assert "key-of-t1" not in json.dumps(
+        applied(read(manifest()).unwrap()).state.to_json()
+    )
+
+
+def applied(*sent):
+    fleet = store.Store()
+    for index, command in enumerate(sent, 1):
+        fleet.apply(index, commands.encode(command))
+    return fleet
+
+
+def test_same_configuration_again_is_acknowledged_also_after_later_ones():
+    """Guards against the refusal of a resend whose acknowledgement was lost."""
+    first, second = read(manifest(5)).unwrap(), read(manifest(9, base=5)).unwrap()
+    fleet = applied(first, second)
+    assert fleet.apply(3, commands.encode(first))["ok"]
+    assert fleet.state.configuration.version == 9
+    assert json.loads(fleet.document) == manifest(9, base=5)
+
+
+def test_two_changes_on_one_version_have_one_winner():
+    fleet = applied(read(manifest(5)).unwrap())
+    rival = manifest(7, base=5, tenants=table("tenants"))
+    assert fleet.apply(2, commands.encode(read(manifest(7, base=5)).unwrap()))["ok"]
+    lost = fleet.apply(3, commands.encode(read(rival).unwrap()))
+    assert not lost["ok"] and lost["kind"] == "conflict"
+    assert fleet.state.accounts
+
+
+def test_refused_configuration_may_be_applied_once_its_base_is_in_force():
+    fleet = store.Store()
+    later = commands.encode(read(manifest(7, base=5)).unwrap())
+    assert not fleet.apply(1, later)["ok"]
+    assert fleet.apply(2, commands.encode(read(manifest(5)).unwrap()))["ok"]
+    assert fleet.apply(3, later)["ok"]
+
+
+def test_version_that_does_not_rise_is_invalid():
+    fleet = applied(read(manifest(5)).unwrap())
+    same = fleet.apply(2, commands.encode(read(manifest(5, base=5)).unwrap()))
+    assert not same["ok"] and same["kind"] == "invalid"
+
+
+def test_document_survives_a_snapshot():
+    fleet = applied(read(manifest(5)).unwrap())
+    other = store.Store()
+    other.restore(fleet.snapshot())
+    assert other.document == fleet.document
+    assert other.state.to_json() == fleet.state.to_json()
+
+
+def test_change_of_one_route_sends_only_that_route():
+    """Guards against deltas that carry the whole configuration to each daemon."""
+    fleet = applied(read(manifest(5)).unwrap())
+    before = fleet.revision
+    changed = manifest(6, base=5)
+    changed["routes"]["rows"][0][4] = 900
+    fleet.apply(2, commands.encode(read(changed).unwrap()))
+    (delta,) = fleet.deltas_since(before, 1 << 20)
+    puts = model.Delta.from_bytes(delta).puts
+    assert {kind for kind, _ in puts} == {"routes", "profiles", "configurations"}
+    assert len(puts) == 3
+
+
+def test_big_configuration_fits_into_a_log_entry():
+    rows = [
+        (f"r{n}", f"h{n}.example", f"/p{n}/", "safe", 800, 1500, 2, "s1", 2, 0, None)
+        for n in range(1500)
+    ]
+    command = read(manifest(routes=table("routes", *rows))).unwrap()
+    assert len(commands.encode(command)) < 256 * 1024
+    assert applied(command).state.routes["r1499"].host == "h1499.example"
+
+
+def test_tolerance_of_operators_is_part_of_what_entries_may_hold():
+    body = json.dumps(manifest()).encode()
+    bound = sharing.RateBound(5, 0.1, 20)
+    command = manifests.to_command(body, SECRET, bound).unwrap()
+    account = applied(command).state.accounts["t1"]
+    allowed = 0.1 * (102 * 5 + 102) + 20
+    assert 102 < account.capacity <= 102 + allowed
+
+
+def test_share_of_calls_follows_the_weights():
+    route = model.Route("r", "s1", "p", split={"s1": 90, "s2": 0, "s3": 10})
+    found = [route.service_for(calls.fraction_of(f"id-{n}")) for n in range(4000)]
+    assert found.count("s2") == 0
+    assert abs(found.count("s3") / 4000 - 0.1) < 0.03
+
+
+def test_host_routes_are_found_by_longest_prefix():
+    fleet = applied(
+        read(
+            manifest(
+                routes=table(
+                    "routes",
+                    ("r1", "a.example", "/", "safe", 8, 1, 0, "s1", 1, 0, None),
+                    ("r2", "a.example", "/x/", "safe", 8, 1, 0, "s2", 1, 0, None),
+                )
+            )
+        ).unwrap()
+    )
+    lookup = parts.Lookup(parts.FixedState(fleet.state), SECRET)
+    assert lookup.route("a.example", "", "GET", "/x/1")[0].name == "r2"
+    assert lookup.route("a.example", "", "GET", "/y")[0].name == "r1"
+    assert lookup.route("c.example", "", "GET", "/y") is None
+
+
+def request(*pairs, method="GET", path="/x/1", body=b""):
+    return httpserver.Request(method, path, list(pairs), 0.0, body)
+
+
+def test_head_of_a_request():
+    head = fields.Fields().read_head(
+        request(
+            (b"host", b"A.example:80"),
+            (b"request-id", b"9c41"),
+            (b"deadline-ms", b"5000"),
+            (b"authorization", b"Bearer secret"),
+        )
+    )
+    assert head == dialect.Head("9c41", "a.example", keys={b"secret"}, timeout_ms=5000)
+
+
+def test_target_sees_no_key_and_no_forged_sender():
+    """Guards against a key passed on, or a caller that names another account."""
+    sent = fields.Fields().fields_for_target(
+        request(
+            (b"host", b"a.example"),
+            (b"authorization", b"Bearer secret"),
+            (b"tenant", b"other"),
+            (b"caller-service", b"other"),
+            (b"expected-instance", b"other"),
+            (b"x-kept", b"1"),
+            (b"connection", b"x-dropped"),
+            (b"x-dropped", b"1"),
+        ),
+        "s1",
+        "t1",
+    )
+    assert sorted(sent) == [
+        (b"caller-service", b"s1"),
+        (b"host", b"a.example"),
+        (b"tenant", b"t1"),
+        (b"x-kept", b"1"),
+    ]
+
+
+def call(root_id="9c41"):
+    return calls.Call(root_id, "s1", "GET", "/", [], b"", "t1", 0, False, 10.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("status", "sent", "is_own", "kind"),
+    [
+        (200, [(b"request-id", b"9c41")], True, None),
+        (200, [(b"request-id", b"other")], False, None),
+        (503, [(b"not-executed", b"1")], True, calls.Kind.OVERLOADED),
+        (503, [], True, None),
+        (421, [], True, calls.Kind.STOPPING),
+    ],
+)
+def test_verdict_on_an_answer(status, sent, is_own, kind):
+    """Guards against answers of other requests and false promises of "not run"."""
+    answer = httpclient.TargetAnswer(status, sent)
+    verdict = fields.Fields().judge(call(), answer)
+    assert verdict.is_own is is_own
+    assert (verdict.refusal.kind if verdict.refusal else None) is kind
+    if verdict.refusal:
+        assert verdict.refusal.outcome is calls.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize("kind", list(calls.Kind))
+@pytest.mark.parametrize("outcome", list(calls.Outcome))
+def test_status_promises_not_run_only_if_it_is_certain(kind, outcome):
+    """Guards against 408, 421, 429 or 503 for a request that may have run."""
+    refused = calls.Refusal(kind, outcome, retry_after_ms=1500)
+    response = fields.Fields().refusal(refused, "9c41")
+    if outcome is not calls.Outcome.NOT_RUN:
+        assert response.status not in (408, 421, 429, 503)
+    if response.status in (429, 503):
+        assert headers.find(response.headers, b"retry-after") == b"1.500"
+
+
+BEAT = {
+    "address": "10.128.0.9:8080",
+    "info": {"service": "s1", "version": "v1", "zone": "z", "slots": 72},
+    "status": {"state": "ready", "seq": 4, "cold_remaining_ms": 500},
+    "born": 1700000000000,
+}
+
+
+def test_announcement_is_read():
+    heard = announcements.read("i-1", json.dumps(BEAT).encode())
+    assert heard == presence.Announcement("i-1", 1700000000000, 4, True, 72, 0.5)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"status": {"state": "asleep", "seq": 4}},
+        {"status": {"state": "ready", "seq": "4"}},
+        {"status": {"state": "ready", "seq": 4, "cold_remaining_ms": "x"}},
+        {"status": None},
+        {"info": {"slots": "many"}},
+        {"born": 1.5},
+        {"born": True},
+    ],
+)
+def test_odd_announcement_names_no_target(change):
+    assert announcements.read("i-1", json.dumps(BEAT | change).encode()) is None
+    assert announcements.read("i-1", b"\xff") is None
+
+
+def test_announcements_reach_the_presence():
+    async def check():
+        known, changes = presence.Presence(must_announce=True), []
+
+        async def changed():
+            changes.append(known.accepts_calls)
+
+        handler = announcements.Announcements(known, changed)
+        for method, body in (
+            ("PUT", json.dumps(BEAT).encode()),
+            ("PUT", json.dumps(BEAT).encode()),
+            ("DELETE", b""),
+        ):
+            sent = request(method=method, path="/instances/i-1", body=body)
+            assert handler.check_head(sent) is None
+            assert (await handler.handle(sent)).status == 200
+        assert changes == [True, False]
+        assert handler.check_head(request(method="PUT", path="/other")).status == 404
+
+    run(check())
+
+
+class _Control:
+    """Control with a log of its own, for the operators' calls."""
+
+    secret = SECRET
+    rate_bound = NO_OVERAGE
+
+    def __init__(self):
+        self.store = store.Store()
+        identity = link.Identity("f", SECRET, "control", "c1", 1)
+        self.cluster = cluster.Cluster(identity, self.store)
+        replica = FakeReplica(self.store)
+        self.cluster.attach(replica, leadership.Leadership(replica, self.store))
+
+    async def replace_configuration(self, command):
+        from toucanfold import control
+
+        return await control.Control.replace_configuration(self, command)
+
+    async def read_document(self):
+        from toucanfold import control
+
+        return await control.Control.read_document(self)
+
+
+def test_operators_put_and_read_configurations():
+    async def check():
+        handler = manifests.Manifests(_Control())
+        get = request(path="/config")
+        assert (await handler.handle(get)).status == 503
+
+        async def put(content):
+            body = (
+                content if isinstance(content, bytes) else json.dumps(content).encode()
+            )
+            sent = request(method="PUT", path="/config", body=body)
+            assert handler.check_head(sent) is None
+            return (await handler.handle(sent)).status
+
+        assert await put(manifest(5)) == 200
+        assert await put(manifest(5)) == 200
+        assert await put(manifest(6, base=4)) == 412
+        assert await put(manifest(5, base=5)) == 400
+        assert await put(INVALID["cut short"]) == 400
+        assert await put(manifest(6, base=5)) == 200
+        shown = await handler.handle(get)
+        assert json.loads(shown.body) == manifest(6, base=5)
+
+    run(check())
+
+
+def test_programs_refuse_wrong_arguments():
+    made = subprocess.run(
+        [sys.executable, "-m", "toucanfold.platform", "other"],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert made.returncode == 2 and "name a program" in made.stderr
+
+
+def test_package_holds_the_adapter_and_hides_no_module_of_python():
+    """Guards against a wheel without the subpackage."""
+    root = pathlib.Path(__file__).parent.parent
+    text = (root / "pyproject.toml").read_text()
+    assert '"toucanfold.platform"' in text
+    code = "import platform, toucanfold.platform.fields; print(platform.system())"
+    made = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert made.stdout.strip() == "Linux"
+
+
+def test_platform_names_stay_in_their_folder():
+    """Guards against the platform's names in the product's modules."""
+    root = pathlib.Path(__file__).parent.parent / "toucanfold"
+    for path in root.glob("*.py"):
+        text = path.read_text().lower()
+        for name in ("deadline-ms", "not-executed", "api_keys", "tenants", "no_auth"):
+            assert name not in text, (path, name)
+
+
+def test_unknown_configuration_digest_is_independent_of_layout():
+    spaced = json.loads(json.dumps(manifest(), indent=2))
+    assert configuration.digest_of(spaced) == configuration.digest_of(manifest())
+
+
+def test_readiness_needs_a_fresh_state():
+    from toucanfold.platform import readiness
+
+    class _Daemon:
+        ready = True
+
+        def is_ready(self, now):
+            return self.ready
+
+    async def check():
+        made = _Daemon()
+        handler = readiness.Readiness(made)
+        assert (await handler.handle(request(path="/ready"))).status == 200
+        made.ready = False
+        assert (await handler.handle(request(path="/ready"))).status == 503
+
+    run(check())
+    assert asyncio.iscoroutinefunction(readiness.Readiness.handle)
--- a/toucanfold/cluster.py
+++ b/toucanfold/cluster.py
@@ -17,6 +17,7 @@
     leadership,
     link,
     messages,
+    model,
     store,
 )
 
@@ -222,8 +223,7 @@
         )
         self._waiting[number] = (opened, future)
         try:
-            data = json.dumps(payload, separators=(",", ":")).encode()
-            opened.send(messages.Relay(number, kind, data))
+            opened.send(messages.Relay(number, kind, _pack_payload(payload)))
             async with asyncio.timeout(REPLY_LIMIT_S):
                 reply = await future
         except TimeoutError:
@@ -232,14 +232,14 @@
             return result.Failure(error)
         finally:
             del self._waiting[number]
-        fields = json.loads(reply.payload)
+        fields = json.loads(model.unpack(reply.payload))
         return result.Success(fields) if reply.ok else result.Failure(unpack(fields))
 
     async def _serve(self, source: link.Link, message: messages.Relay) -> None:
         assert self._leadership is not None
         try:
             answered = await self._leadership.handle(
-                message.kind, json.loads(message.payload)
+                message.kind, json.loads(model.unpack(message.payload))
             )
         except (ValueError, KeyError, TypeError) as error:
             answered = result.Failure(
@@ -252,8 +252,12 @@
             fields, ok = pack(answered.failure()), False
         else:
             fields, ok = answered.unwrap(), True
-        data = json.dumps(fields, separators=(",", ":")).encode()
-        source.send(messages.RelayReply(message.id, ok, data))
+        source.send(messages.RelayReply(message.id, ok, _pack_payload(fields)))
+
+
+def _pack_payload(fields: dict[str, Any]) -> bytes:
+    """Return compressed JSON; regions are joined by links that are paid by volume."""
+    return model.pack(json.dumps(fields, separators=(",", ":")).encode())
 
 
 # Errors that keep their type when they travel from the leader to another instance.
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -18,6 +18,7 @@
     cmdline,
     config,
     debughttp,
+    decisionlog,
     dialect,
     dispatch,
     egress,
@@ -95,8 +96,10 @@
         rate: parts.Rate | None = None,
         spoken: dialect.Dialect | None = None,
         known: presence.Presence | None = None,
+        decisions: decisionlog.DecisionLog | None = None,
     ):
         self._settings = settings
+        self._decisions = decisions or decisionlog.Silent()
         self._dialect = spoken or dialect.Native()
         self.presence = known or presence.Presence()
         self._identity = identity
@@ -351,6 +354,7 @@
             self.dispatcher,
             self.peers,
             lambda: self.source.state,
+            decisions=self._decisions,
         )
 
     def _make_entry(self) -> entry.Entry:
@@ -366,6 +370,7 @@
             serve_open_when_stale=self._get("serve_open_when_stale"),
             spoken=self._dialect,
             service=self.service,
+            decisions=self._decisions,
         )
 
     def _on_state(self, state: model.FleetState) -> None:
@@ -541,6 +546,7 @@
         rate=rate,
         spoken=spoken,
         known=known,
+        decisions=decisionlog.DecisionLog(identity.name, decisionlog.Writer()),
     )
     source.complete_copies = made.complete_copies
     return made
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -6,6 +6,7 @@
 from toucanfold import (
     bodies,
     calls,
+    decisionlog,
     dialect,
     headers,
     httpserver,
@@ -72,6 +73,7 @@
         serve_open_when_stale: bool = False,
         spoken: dialect.Dialect | None = None,
         service: str = "",
+        decisions: decisionlog.DecisionLog | None = None,
     ):
         self.running = 0
         self.stopping = False
@@ -82,6 +84,7 @@
         self._rng = rng
         self._dialect = spoken or dialect.Native()
         self._service = service
+        self._log = decisions or decisionlog.Silent()
         self._levels = levels or pressure.LearntLevels()
         self._rate = rate or parts.NoRate()
         self._budgets = budgets or retries.Budgets()
@@ -121,6 +124,14 @@
 
     def _refuse(self, refused: calls.Refusal, root_id: str) -> httpserver.Response:
         self._metrics.count(f"refused.{refused.kind}")
+        self._log.note(
+            "refused at the head",
+            root_id,
+            always=True,
+            kind=refused.kind,
+            why=refused.message,
+            revision=self._source.state.revision,
+        )
         return self._dialect.refusal(refused, root_id)
 
     def _check(
@@ -206,9 +217,10 @@
                 if is_resend:
                     self._budgets.give_back(call.service)
                 bodies.drop(call.body_stream)
+                held = self._rate.describe(account.name)
                 return calls.refuse(
                     calls.Kind.RATE_EXCEEDED,
-                    f"client account {account.name} exceeds its rate",
+                    f"client account {account.name} exceeds its rate; held: {held}",
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
@@ -249,6 +261,24 @@
         total_s = now - request.received_at
         account, importance = admitted.account_name, admitted.profile.importance
         self._metrics.observe("total", account, importance, total_s)
+        refusal = answer.refusal
+        self._log.note(
+            "answered" if refusal is None else "refused",
+            admitted.root_id,
+            always=refusal is not None or answer.status >= 500,
+            status=answer.status,
+            kind=refusal.kind if refusal else "",
+            why=refusal.message if refusal else "",
+            outcome=answer.outcome.header_value,
+            route=admitted.route.name,
+            service=admitted.service,
+            account=account,
+            importance=importance,
+            took_ms=round(total_s * 1000),
+            left_ms=round((admitted.deadline - now) * 1000),
+            attempts=answer.attempts_spent,
+            revision=self._source.state.revision,
+        )
         if answer.refusal is None:
             added_s = total_s - answer.target_seconds
             self._metrics.observe("added", account, importance, added_s)
--- a/toucanfold/forward.py
+++ b/toucanfold/forward.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncGenerator, Callable
 from typing import Protocol
 
-from toucanfold import bodies, calls, model, retries, router
+from toucanfold import bodies, calls, decisionlog, model, retries, router
 from toucanfold import clock as clocks
 
 # The daemon that runs a call ends it at the deadline and knows its outcome; this
@@ -43,6 +43,7 @@
         "_clock",
         "_delays",
         "_dispatcher",
+        "_log",
         "_name",
         "_peers",
         "_router",
@@ -58,7 +59,9 @@
         peers: Peers,
         state_of: Callable[[], model.FleetState],
         clock: Callable[[], float] = clocks.now,
+        decisions: decisionlog.DecisionLog | None = None,
     ):
+        self._log = decisions or decisionlog.Silent()
         self._name = name
         self._router = chooser
         self._budgets = budgets
@@ -79,6 +82,7 @@
             tried.add(target.name)
             answer = await self._try(call, target, allowance, tried)
             now = self._clock()
+            self._note(now, call, target, answer, len(tried))
             if not allowance.may_retry(now, call, answer, self._budgets):
                 break
             target = self._router.pick(now, call, frozenset(tried))
@@ -89,6 +93,31 @@
             self._budgets.on_success(now, call.service)
         return allowance.finish(answer)
 
+    def _note(
+        self,
+        now: float,
+        call: calls.Call,
+        target: model.Target,
+        answer: calls.Answer,
+        tries: int,
+    ) -> None:
+        refusal = answer.refusal
+        self._log.note(
+            "tried",
+            call.root_id,
+            always=refusal is not None,
+            target=target.name,
+            data_centre=target.data_centre,
+            tries=tries,
+            status=answer.status,
+            kind=refusal.kind if refusal else "",
+            why=refusal.message if refusal else "",
+            outcome=answer.outcome.header_value,
+            left_ms=round((call.deadline - now) * 1000),
+            limit=answer.limit,
+            in_flight=answer.in_flight,
+        )
+
     async def _try(
         self,
         call: calls.Call,
--- a/toucanfold/limits.py
+++ b/toucanfold/limits.py
@@ -400,6 +400,17 @@
         held.bucket.refill(now)
         return held.bucket.tokens
 
+    def describe(self, now: float, account: str) -> str:
+        """Return rate, capacity, tokens, load and age of a share, for a log line."""
+        held = self._held(now, account)
+        bucket = held.bucket
+        return (
+            f"{bucket.rate:.2f} calls/s, {bucket.tokens:.2f} of {bucket.burst:.2f} "
+            f"tokens, load {held.meter.rate(now):.2f} calls/s, "
+            f"ends in {max(0.0, held.expires_at - now):.2f} s, "
+            f"{len(held.waiting)} waiting"
+        )
+
     def _held(self, now: float, account: str) -> _Held:
         held = self._accounts.get(account)
         if held is None:
--- a/toucanfold/parts.py
+++ b/toucanfold/parts.py
@@ -127,6 +127,9 @@
     async def spend(self, account: str) -> float:
         """Return 0 when a token was spent, else the seconds until one (at least)."""
 
+    def describe(self, account: str) -> str:
+        """Return what is held of an account, for a log line."""
+
 
 class NoRate:
     """Does not limit client accounts."""
@@ -134,3 +137,7 @@
     async def spend(self, account: str) -> float:
         """Return 0."""
         return 0.0
+
+    def describe(self, account: str) -> str:
+        """Return that nothing is limited."""
+        return "no limit"
--- a/toucanfold/spending.py
+++ b/toucanfold/spending.py
@@ -18,6 +18,10 @@
         self._ping_soon = ping_soon
         self._loop = asyncio.get_running_loop()
 
+    def describe(self, account: str) -> str:
+        """Return what is held of an account, for a log line."""
+        return self._holder.describe(self._loop.time(), account)
+
     async def spend(self, account: str) -> float:
         """Return 0 when a token was spent, else the seconds until one (at least)."""
         started_at = self._loop.time()
