Refuse the calls that wait for a draining target at once

Cause: calls could stay queued for longer than the time after an acknowledged drain in which targets still expect them. Ruled out: new calls, which the daemon refuses already. Change: they are refused as not run, so that their daemons send them elsewhere. The test fails without it.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -13,6 +13,7 @@
     httpserver,
     limiter,
     metrics,
+    presence,
 )
 
 
@@ -242,3 +243,33 @@
             assert (dispatcher.in_flight, dispatcher.active) == (0, 0)
 
     helpers.run(scenario())
+
+
+def test_draining_target_gives_up_the_calls_that_wait():
+    """Guards against calls that reach a target after its drain was acknowledged."""
+
+    async def check():
+        known = presence.Presence(must_announce=True)
+        known.on_announcement(0.0, presence.Announcement("i", 1, 1, True, 1))
+        pool = httpclient.Pool(helpers.free_address(), 10)
+        dispatcher = dispatch.Dispatcher(
+            pool,
+            calls.TokenTable(),
+            metrics.Metrics(),
+            limiter.Places(),
+            admission.Fifo(),
+            known=known,
+        )
+        dispatcher.on_presence()
+        dispatcher.in_flight = dispatcher.limit
+        waiting = asyncio.create_task(dispatcher.run(make_call()))
+        await asyncio.sleep(0)
+        assert dispatcher.queued == 1
+        known.on_announcement(1.0, presence.Announcement("i", 1, 2, False, 1))
+        dispatcher.on_presence()
+        answer = await waiting
+        assert answer.outcome is calls.Outcome.NOT_RUN
+        assert answer.refusal.kind is calls.Kind.STOPPING
+        assert dispatcher.queued == 0
+
+    helpers.run(check())
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -105,11 +105,20 @@
         self.pool.close()
 
     def on_presence(self) -> None:
-        """Follow what the target announced; calls that it no longer takes end."""
+        """Follow what the target announced.
+
+        Calls that still wait when it takes no more are refused as not run at once, so
+        that their daemons send them elsewhere while there is time.
+        """
         if isinstance(self._limiter, limiter.Places):
             self._limiter.on_places(self._presence.places)
         if self._presence.accepts_calls:
             self._pump(self._loop.time())
+            return
+        for call_id, granted in list(self._waiting.items()):
+            if not granted.done():
+                self._forget(int(call_id))
+                granted.set_result(calls.Kind.STOPPING)
 
     def replace(
         self,
