Write logs to standard output, bounded and without blocking

Cause: a full pipe on the log's stream could stop the loop that serves. Ruled out: making the descriptor non-blocking, since the shell's other programs share it. The tests with a stuck reader fail without it.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -245,7 +245,7 @@
     )
     process = subprocess.Popen(
         [sys.executable, "-m", "toucanfold", "daemon", f"--settings={settings.file}"],
-        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
     )
     try:
         address = settings.get("daemon", "caller_listen")
@@ -259,9 +259,9 @@
                 time.sleep(0.05)
         assert json.loads(reply.body)["kind"] == "control_stale"
         process.send_signal(signal.SIGTERM)
-        _, errors = process.communicate(timeout=15)
+        output, _ = process.communicate(timeout=15)
         assert process.returncode == 0
-        lines = [json.loads(line) for line in errors.splitlines()]
-        assert [line["message"] for line in lines][-1] == "drained"
+        lines = [json.loads(line) for line in output.splitlines()]
+        assert lines[-1]["message"] == "drained"
     finally:
         process.kill()
--- /dev/null
+++ b/tests/test_decisionlog.py
@@ -0,0 +1,61 @@
+import json
+import os
+import time
+
+from toucanfold import calls, decisionlog
+
+
+def read_all(descriptor):
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            data += os.read(descriptor, 1 << 20)
+        except BlockingIOError:
+            return data
+
+
+def test_writer_does_not_wait_for_a_reader_that_is_stuck():
+    """Guards against a full output pipe that stops the loop which serves."""
+    reader, descriptor = os.pipe()
+    writer = decisionlog.Writer(descriptor)
+    line = b"x" * 999 + b"\n"
+    started_at = time.monotonic()
+    taken = sum(writer.write(line) for _ in range(2000))
+    assert time.monotonic() - started_at < 2
+    assert 0 < taken < 2000 and writer.dropped == 2000 - taken
+    received = read_all(reader)
+    while len(received) < taken * len(line):
+        writer.flush()
+        received += read_all(reader)
+    assert received == line * taken
+    os.close(reader)
+    os.close(descriptor)
+
+
+def test_dropped_lines_are_told_with_the_next_one():
+    reader, descriptor = os.pipe()
+    writer = decisionlog.Writer(descriptor)
+    writer.dropped = 7
+    log = decisionlog.DecisionLog("d1", writer)
+    log.note("refused", "r1", always=True, kind="overloaded")
+    (line,) = [json.loads(text) for text in read_all(reader).splitlines()]
+    assert line["lines_dropped"] == 7 and writer.dropped == 0
+    assert (line["request_id"], line["kind"]) == ("r1", "overloaded")
+    os.close(reader)
+    os.close(descriptor)
+
+
+def test_all_hops_choose_the_same_requests():
+    """Guards against requests of which only some hops can be explained."""
+    reader, descriptor = os.pipe()
+    logs = [
+        decisionlog.DecisionLog(name, decisionlog.Writer(descriptor))
+        for name in ("d1", "d2")
+    ]
+    ids = [calls.new_root_id() for _ in range(2000)]
+    chosen = [[item for item in ids if log.is_sampled(item)] for log in logs]
+    assert chosen[0] == chosen[1]
+    assert 5 < len(chosen[0]) < 100
+    os.close(reader)
+    os.close(descriptor)
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -18,6 +18,7 @@
     commands,
     config,
     credentials,
+    decisionlog,
     exceptions,
     files,
     httpapi,
@@ -366,7 +367,8 @@
 def run(path: str, extend: Extension | None = None, log_level: str = "info") -> int:
     """Run an instance from its settings file; raises SettingsError, StorageError."""
     settings = _value(config.read(path, "control"))
-    logs.set_up(settings.get("control", "name"), log_level)
+    stream = decisionlog.TextStream(decisionlog.Writer())
+    logs.set_up(settings.get("control", "name"), log_level, stream)
     clock.run(serve(settings, extend))
     return 0
 
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -528,6 +528,7 @@
     setup: Setup,
     spoken: dialect.Dialect | None = None,
     known: presence.Presence | None = None,
+    decisions: decisionlog.DecisionLog | None = None,
 ) -> Daemon:
     """Return a daemon whose watch has started; needs a running event loop."""
     settings, secret, contexts = setup
@@ -546,7 +547,7 @@
         rate=rate,
         spoken=spoken,
         known=known,
-        decisions=decisionlog.DecisionLog(identity.name, decisionlog.Writer()),
+        decisions=decisions,
     )
     source.complete_copies = made.complete_copies
     return made
@@ -567,11 +568,14 @@
     if isinstance(loaded, result.Failure):
         raise loaded.failure()
     setup = loaded.unwrap()
-    logs.set_up(setup[0].get("daemon", "name"), log_level)
+    name = setup[0].get("daemon", "name")
+    writer = decisionlog.Writer()
+    logs.set_up(name, log_level, decisionlog.TextStream(writer))
 
     async def start() -> None:
         known = presence.Presence(must_announce) if must_announce else None
-        made = make(setup, spoken, known)
+        decisions = decisionlog.DecisionLog(name, writer)
+        made = make(setup, spoken, known, decisions)
         await serve(made, extend(made) if extend else [])
 
     clock.run(start())
--- a/toucanfold/decisionlog.py
+++ b/toucanfold/decisionlog.py
@@ -8,6 +8,7 @@
 import collections
 import json
 import os
+import select
 import time
 from typing import Any
 
@@ -23,7 +24,7 @@
 class Writer:
     """Writes lines to a file descriptor as far as its reader keeps up."""
 
-    __slots__ = ("_descriptor", "_size", "_waiting", "dropped")
+    __slots__ = ("_descriptor", "_poll", "_size", "_waiting", "dropped")
 
     def __init__(self, descriptor: int = STDOUT):
         # Lines dropped since the last one that was written.
@@ -31,7 +32,9 @@
         self._descriptor = descriptor
         self._waiting: collections.deque[bytes] = collections.deque()
         self._size = 0
-        os.set_blocking(descriptor, False)
+        # The descriptor is not made non-blocking, since others may share it.
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
 
     def write(self, line: bytes) -> bool:
         """Write a line, or keep it until the reader takes it; False if dropped."""
@@ -48,10 +51,10 @@
         """Write what the reader takes now."""
         while self._waiting:
             line = self._waiting[0]
-            try:
-                written = os.write(self._descriptor, line)
-            except BlockingIOError:
+            if not self._poll.poll(0):
                 return
+            try:
+                written = os.write(self._descriptor, line[: select.PIPE_BUF])
             except OSError:
                 # Nobody reads the output any more, so nobody can be told either.
                 self.dropped += len(self._waiting)
@@ -61,8 +64,24 @@
             self._size -= written
             if written < len(line):
                 self._waiting[0] = line[written:]
-                return
-            self._waiting.popleft()
+            else:
+                self._waiting.popleft()
+
+
+class TextStream:
+    """Text file that writes to a Writer, for the standard library's log handlers."""
+
+    def __init__(self, writer: Writer):
+        self._writer = writer
+
+    def write(self, text: str) -> int:
+        """Write text; what the reader does not take in time is dropped and counted."""
+        self._writer.write(text.encode("utf-8", "replace"))
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        self._writer.flush()
 
 
 class DecisionLog:
--- a/toucanfold/logs.py
+++ b/toucanfold/logs.py
@@ -5,6 +5,7 @@
 import logging as standard_logging
 import sys
 import time
+from typing import Any
 
 from absl import flags, logging
 
@@ -38,8 +39,8 @@
         return json.dumps(fields)
 
 
-def set_up(process: str, level: str = "info") -> None:
-    """Send all log records to standard error as JSON lines."""
+def set_up(process: str, level: str = "info", stream: Any = None) -> None:
+    """Send all log records as JSON lines to a stream, or to standard error."""
     # Commands parse flags of their own; absl would otherwise print a warning line.
     flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
@@ -47,4 +48,4 @@
     logging.use_absl_handler()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
