--- a/toucanfold/link.py
+++ b/toucanfold/link.py
@@ -15,6 +15,9 @@
 
 HEARTBEAT_S = 0.5
 SILENCE_LIMIT_S = 1.5
+# A link is pinged when nothing came from the peer for this long; less than the interval,
+# so that a frame just after one heartbeat does not put off a ping for two.
+QUIET_S = 0.4
 HANDSHAKE_LIMIT_S = 2.0
 # A peer that reads nothing must not make this process hold its frames without bound.
 MAX_BUFFERED_BYTES = 8 << 20
@@ -240,8 +243,11 @@
         if now - self._last_frame_at > SILENCE_LIMIT_S:
             self.close(f"no frame for {SILENCE_LIMIT_S} s")
             return
-        self._sequence += 1
-        self._write(messages.Ping(self._sequence))
+        # A frame that came lately shows as much as a pong would. The peer hears this
+        # side's pongs, or sends pings itself.
+        if now - self._last_frame_at >= QUIET_S:
+            self._sequence += 1
+            self._write(messages.Ping(self._sequence))
         self._schedule_heartbeat()
 
     def _write(self, message: messages.Message) -> None:
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -21,7 +21,7 @@
 MIN_PING_S = 0.1
 # How often the holder is asked whether it has shares to give back; a call that waits
 # for a grant uses ping_soon.
-POLL_S = 0.05
+POLL_S = 0.1
 SILENCE_S = 0.9
 # Part by which the limit grows with each move without an answer, up to MAX_SILENCES:
 # while no instance has a leader, reconnecting daemons must not add to its load.
