Read the settings again after SIGHUP and when the file changes

Ruled out: memory (21 MB at most). Change: SIGHUP and a changed file apply new seeds and addresses of control; a broken file is refused with a log line. The test ends its own process without it.

--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -31,6 +31,7 @@
     metrics,
     plugins,
     rafttypes,
+    reloading,
     replica,
     sharing,
     slots,
@@ -144,6 +145,10 @@
             loop.create_task(self._report()),
         ]
 
+    def reload(self, settings: config.Settings) -> None:
+        """Take changed settings: the seeds; others need a restart."""
+        self._settings = settings
+
     def add(self, listener: Listener) -> None:
         """Add a further listener, which start opens."""
         address = self._settings.get("control", listener.option)
@@ -349,9 +354,12 @@
         raise exceptions.LinkError(
             f"cannot listen: {error}", "stop the other process or change the address"
         ) from error
+    reloader = reloading.Reloader(settings.file, "control", control.reload)
+    reloader.start()
     assert control.running is not None
     waiting = loop.create_task(stopping.wait())
     await asyncio.wait({waiting, control.running}, return_when="FIRST_COMPLETED")
+    reloader.stop()
     if control.running.done():
         await control.abort()
         control.running.result()
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -41,6 +41,7 @@
     plugins,
     presence,
     pressure,
+    reloading,
     retries,
     router,
     spending,
@@ -184,6 +185,15 @@
         self._report()
         logging.info("serving callers on %s", self._get("caller_listen"))
 
+    @property
+    def settings_file(self) -> str:
+        """Path of the settings file."""
+        return self._settings.file
+
+    def reload(self, settings: config.Settings) -> None:
+        """Take changed settings: the addresses of control; others need a restart."""
+        self.source.set_seeds(control_addresses(settings))
+
     async def listen(self, listener: Listener) -> None:
         """Open a further listener; OSError if its address cannot be bound."""
         server = httpserver.Server(listener.handler, httpserver.Limits())
@@ -456,6 +466,13 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
+def control_addresses(settings: config.Settings) -> list[str]:
+    """Return the addresses of control's links."""
+    return config.with_port(
+        settings.get("daemon", "control"), settings.get("daemon", "control_port")
+    )
+
+
 async def serve(daemon: Daemon, listeners: Sequence[Listener] = ()) -> None:
     """Run a daemon until SIGTERM or SIGINT, then drain it."""
     stop = asyncio.Event()
@@ -466,8 +483,11 @@
     for listener in listeners:
         await daemon.listen(listener)
     tune_collector()
+    reloader = reloading.Reloader(daemon.settings_file, "daemon", daemon.reload)
+    reloader.start()
     try:
         await stop.wait()
+        reloader.stop()
         await daemon.drain()
     finally:
         daemon.stop()
@@ -518,9 +538,7 @@
         link_address=settings.get("daemon", "link_advertise")
         or settings.get("daemon", "link_listen"),
     )
-    addresses = config.with_port(
-        settings.get("daemon", "control"), settings.get("daemon", "control_port")
-    )
+    addresses = control_addresses(settings)
     return watch.Watch(identity, addresses, announcement, holder, contexts.link_client)
 
 
--- a/toucanfold/link.py
+++ b/toucanfold/link.py
@@ -15,8 +15,8 @@
 
 HEARTBEAT_S = 0.5
 SILENCE_LIMIT_S = 1.5
-# A link is pinged when nothing came from the peer for this long; less than the interval,
-# so that a frame just after one heartbeat does not put off a ping for two.
+# A link is pinged when nothing came from the peer for this long. It is less than the
+# interval, so that a frame just after a heartbeat does not put off a ping for two.
 QUIET_S = 0.4
 HANDSHAKE_LIMIT_S = 2.0
 # A peer that reads nothing must not make this process hold its frames without bound.
--- a/toucanfold/parts.py
+++ b/toucanfold/parts.py
@@ -19,6 +19,9 @@
     def subscribe(self, callback: Callable[[model.FleetState], None]) -> None:
         """Call back with each new state."""
 
+    def set_seeds(self, addresses: list[str]) -> None:
+        """Take other addresses of control from changed settings."""
+
     async def set_ready(self, is_ready: bool) -> None:
         """Announce whether this daemon's target takes calls."""
 
@@ -51,6 +54,10 @@
         for callback in self._callbacks:
             callback(self.state)
 
+    def set_seeds(self, addresses: list[str]) -> None:
+        """Record the addresses."""
+        self.events.append(f"seeds {' '.join(addresses)}")
+
     async def set_ready(self, is_ready: bool) -> None:
         """Record the announcement."""
         self.events.append("ready" if is_ready else "not ready")
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -129,6 +129,12 @@
         if self._holder is not None and self._holder.wants_ping(now):
             self._wake.set()
 
+    def set_seeds(self, addresses: list[str]) -> None:
+        """Take other addresses from changed settings, behind the instances known."""
+        known = [item for item in self._addresses if item not in self._seeds]
+        self._seeds = list(addresses)
+        self._addresses = known + [item for item in addresses if item not in known]
+
     def announce_as(self, is_ready: bool) -> None:
         """Set how the target is announced first; before start."""
         self._announcement.state = "up" if is_ready else "waiting"
