Forget instances that were heard waiting long ago

A follower that becomes leader would act on such notes and could give the place of a member to the id of a disk that is gone. Change: a note counts for 1.5 s and only while the id is not a member. The test fails without it.

--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -1,12 +1,22 @@
 """Consensus over a fake clock, network and disk."""
 
+import random
+
 import hypothesis
 import pytest
 import simulation
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from toucanfold import exceptions, leading, members, messages, raftlog, rafttypes
+from toucanfold import (
+    exceptions,
+    leading,
+    members,
+    messages,
+    raft,
+    raftlog,
+    rafttypes,
+)
 
 NAMES = ("a", "b", "c")
 names = st.sampled_from(NAMES)
@@ -321,3 +331,19 @@
         voter.crash()
         voter.start()
     assert granted == ["b/x", "b/x"]
+
+
+def test_old_note_of_a_waiting_instance_is_forgotten():
+    """Guards against a new leader that gives a disk which is gone a place again.
+
+    A follower may have heard an instance long before it was added elsewhere, or before
+    it lost its disk.
+    """
+    first = members.Membership([members.Member("a", "1"), members.Member("b", "1")])
+    log = raftlog.RaftLog(raftlog.Snapshot(1, 1, first, b""), [])
+    plan = rafttypes.Founding({})
+    member = raft.Raft("a/1", plan, (1, ""), log, random.Random(1), 0.0)
+    member.note_waiting(10.0, "c", "old", "c:1")
+    member.note_waiting(10.0, "b", "1", "b:1")
+    assert member.waiting(10.0 + rafttypes.WAITING_S) == {"c": ("old", "c:1")}
+    assert member.waiting(10.1 + rafttypes.WAITING_S) == {}
--- a/toucanfold/raft.py
+++ b/toucanfold/raft.py
@@ -19,6 +19,7 @@
     ANNOUNCE_S,
     MAX_COMMAND_BYTES,
     ORPHAN_S,
+    WAITING_S,
     Founding,
     Kind,
     Ready,
@@ -37,6 +38,7 @@
 
     __slots__ = (
         "_announce_at",
+        "_announced_at",
         "_founder",
         "_handlers",
         "_own_address",
@@ -63,6 +65,7 @@
         # Ids of instances that wait to be added, by name, and their addresses.
         self.announced: dict[str, str] = {}
         self.announced_addresses: dict[str, str] = {}
+        self._announced_at: dict[str, float] = {}
         self._own_address = plan.own_address
         self._founder = founding.Founder(key, plan)
         self._saved_vote = self._stored_vote = vote
@@ -182,11 +185,24 @@
         """Return (number, index to apply first) of the confirmed reads."""
         return self._lead.take_reads() if self._lead is not None else []
 
-    def note_waiting(self, name: str, member_id: str, address: str) -> None:
+    def note_waiting(self, now: float, name: str, member_id: str, address: str) -> None:
         """Note an instance that waits to be added, also if another member heard it."""
         if members.member_key(name, member_id) not in self.membership:
             self.announced[name] = member_id
             self.announced_addresses[name] = address
+            self._announced_at[name] = now
+
+    def waiting(self, now: float) -> dict[str, tuple[str, str]]:
+        """Return id and address of the instances that were heard waiting lately.
+
+        An older note may name a disk that is gone, whose place must not be taken.
+        """
+        return {
+            name: (member_id, self.announced_addresses[name])
+            for name, member_id in self.announced.items()
+            if now - self._announced_at[name] <= WAITING_S
+            and members.member_key(name, member_id) not in self.membership
+        }
 
     def change_members(
         self, now: float, change: members.MemberChange
@@ -292,7 +308,7 @@
             return
         name, _, member_id = message.sender.partition(members.SEPARATOR)
         if message.sender not in self.membership:
-            self.note_waiting(name, member_id, message.address)
+            self.note_waiting(now, name, member_id, message.address)
         elif self.log.first_index == 1:
             reply = self._reply(Kind.FOUNDED, message)
             reply.entries = self.log.slice(1, 1, 1)
--- a/toucanfold/rafttypes.py
+++ b/toucanfold/rafttypes.py
@@ -10,6 +10,9 @@
 ELECTION_MAX_S = 0.9
 # How often an instance without state announces itself to the others.
 ANNOUNCE_S = 0.2
+# An instance waits as long as it was heard within this time. Followers tell the leader
+# of those that they hear about twice a second.
+WAITING_S = 1.5
 # A member that heard no leader for this long asks whether it was replaced.
 ORPHAN_S = 2.0
 MAX_COMMAND_BYTES = 512 * 1024
--- a/toucanfold/replica.py
+++ b/toucanfold/replica.py
@@ -165,14 +165,12 @@
 
     def waiting(self) -> dict[str, joins.Waiting]:
         """Return the instances that wait to be added, by name."""
-        return {
-            name: joins.Waiting(member_id, self._raft.announced_addresses[name])
-            for name, member_id in self._raft.announced.items()
-        }
+        found = self._raft.waiting(self._clock())
+        return {name: joins.Waiting(*item) for name, item in found.items()}
 
     def note_waiting(self, name: str, member_id: str, address: str) -> None:
         """Note an instance that another member heard waiting."""
-        self._raft.note_waiting(name, member_id, address)
+        self._raft.note_waiting(self._clock(), name, member_id, address)
 
     def reachable(self) -> set[str]:
         """Return the keys of the members heard lately (leader only)."""
