Wait for a token only for a part of a call's time

Cause: calls waited up to 0.4 s for a token whatever time they had. Ruled out: targets (the requests reached none). Change: the wait is at most a quarter of the time left. The test fails without it.

--- /dev/null
+++ b/tests/test_spending.py
@@ -0,0 +1,33 @@
+import asyncio
+
+import helpers
+
+from toucanfold import limits, model, spending
+
+
+class _Holder(limits.Holder):
+    """Holds a share without tokens."""
+
+
+def test_call_with_little_time_is_refused_while_its_caller_still_waits():
+    """Guards against calls held for a token until their caller has given up.
+
+    Seen on setubhar-mesh quiet-1 (entry a876ded8): 132 requests that came back with
+    330 ms left waited 400 ms for a token.
+    """
+
+    async def check():
+        holder = _Holder()
+        state = model.FleetState()
+        state.accounts["a"] = model.Account("a", 10, 10)
+        loop = asyncio.get_running_loop()
+        holder.on_state(loop.time(), state)
+        spender = spending.Spender(holder, lambda: None)
+        started_at = loop.time()
+        assert await spender.spend("a", 0.33) > 0
+        assert loop.time() - started_at < 0.2
+        started_at = loop.time()
+        assert await spender.spend("a", 10.0) > 0
+        assert loop.time() - started_at <= limits.MAX_WAIT_S + 0.2
+
+    helpers.run(check())
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -212,7 +212,7 @@
                 retry_after_ms=BUDGET_RETRY_MS,
             )
         if account is not None and not account.unlimited:
-            wait_s = await self._rate.spend(account.name)
+            wait_s = await self._rate.spend(account.name, call.deadline - now)
             if wait_s > 0:
                 if is_resend:
                     self._budgets.give_back(call.service)
--- a/toucanfold/limits.py
+++ b/toucanfold/limits.py
@@ -298,8 +298,12 @@
         account: str,
         tokens: float = 1.0,
         since: float | None = None,
+        patience_s: float = MAX_WAIT_S,
     ) -> SpendResult:
-        """Spend tokens; since is the time of the call's first attempt, if any."""
+        """Spend tokens; since is the time of the call's first attempt, if any.
+
+        The call waits at most patience_s from its first attempt on.
+        """
         held = self._held(now, account)
         first = since is None
         held.stop_waiting(now, now if since is None else since)
@@ -313,7 +317,7 @@
             return SPENT
         held.mark_short(now)
         self._urgent = True
-        return self._wait(now, held, tokens + ahead, since)
+        return self._wait(now, held, tokens + ahead, since, patience_s)
 
     def on_state(self, now: float, state: model.FleetState) -> None:
         """Apply new limits; shares of deleted accounts end at once."""
@@ -424,8 +428,10 @@
             held.end(now)
 
     @staticmethod
-    def _wait(now: float, held: _Held, tokens: float, since: float) -> SpendResult:
-        left = MAX_WAIT_S - (now - since)
+    def _wait(
+        now: float, held: _Held, tokens: float, since: float, patience_s: float
+    ) -> SpendResult:
+        left = min(patience_s, MAX_WAIT_S) - (now - since)
         until = held.bucket.seconds_until(tokens)
         is_new = now - held.short_since < GRANT_WAIT_S
         lasting = MIN_WAITING + WAITING_S * held.bucket.rate
--- a/toucanfold/spending.py
+++ b/toucanfold/spending.py
@@ -6,6 +6,8 @@
 from toucanfold import limits
 
 MIN_PAUSE_S = 0.001
+# Part of a call's time that it may wait for a token; the rest is needed to run it.
+PATIENCE_PART = 0.25
 
 
 class Spender:
@@ -22,15 +24,18 @@
         """Return what is held of an account, for a log line."""
         return self._holder.describe(self._loop.time(), account)
 
-    async def spend(self, account: str) -> float:
+    async def spend(self, account: str, left_s: float) -> float:
         """Return 0 when a token was spent, else the seconds until one (at least)."""
+        patience_s = PATIENCE_PART * left_s
         started_at = self._loop.time()
-        spent = self._holder.spend(started_at, account)
+        spent = self._holder.spend(started_at, account, patience_s=patience_s)
         while spent.kind is limits.SpendKind.WAIT:
             self._ping_soon()
             await asyncio.sleep(max(MIN_PAUSE_S, spent.seconds))
             now = self._loop.time()
-            spent = self._holder.spend(now, account, since=started_at)
+            spent = self._holder.spend(
+                now, account, since=started_at, patience_s=patience_s
+            )
         self._ping_soon()
         if spent.kind is limits.SpendKind.SPENT:
             return 0.0
