--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -97,3 +97,22 @@
         server.close()
 
     helpers.run(scenario())
+
+
+def test_heartbeats_of_all_links_share_one_wake_up():
+    """Guards against a daemon that wakes up for each of its many links."""
+
+    async def check():
+        loop = asyncio.get_running_loop()
+        identity = link.Identity("f", b"secret of the test", "daemon", "a", 1234)
+        links = [link.Link(identity, None, opener=True) for _ in range(5)]
+        times = set()
+        for opened in links:
+            opened._schedule_heartbeat()
+            times.add(round(opened._timer.when(), 6))
+            opened._timer.cancel()
+            await asyncio.sleep(0.002)
+        assert len(times) <= 2
+        assert all(0 < when - loop.time() + 0.1 <= 0.6 for when in times)
+
+    helpers.run(check())
--- a/toucanfold/link.py
+++ b/toucanfold/link.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import hmac
+import math
 import secrets
 import ssl
 from typing import Protocol
@@ -235,8 +236,15 @@
         self.close("the handshake took too long")
 
     def _schedule_heartbeat(self) -> None:
+        """Plan the next heartbeat.
+
+        All links of a process share its times, so that many links wake it no more often
+        than one; processes differ by their incarnation.
+        """
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(HEARTBEAT_S, self._heartbeat)
+        phase_s = self._identity.incarnation % 1000 / 1000 * HEARTBEAT_S
+        beats = math.floor((loop.time() - phase_s) / HEARTBEAT_S) + 1
+        self._timer = loop.call_at(beats * HEARTBEAT_S + phase_s, self._heartbeat)
 
     def _heartbeat(self) -> None:
         now = asyncio.get_running_loop().time()
