--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -226,6 +226,7 @@
         await asyncio.sleep(min(DRAIN_NOTICE_S, limit_s - serve_s))
         limit_s = max(0.0, end - asyncio.get_running_loop().time())
         await asyncio.wait({announcing}, timeout=limit_s)
+        announcing.cancel()
         if not await _wait_until(self._is_empty, limit_s):
             logging.warning(
                 "the drain timeout ended with %d calls running", self.running
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -217,10 +217,17 @@
                 if is_resend:
                     self._budgets.give_back(call.service)
                 bodies.drop(call.body_stream)
-                held = self._rate.describe(account.name)
+                self._log.note(
+                    "no token in time",
+                    call.root_id,
+                    always=True,
+                    account=account.name,
+                    share=self._rate.describe(account.name),
+                    waited_ms=round((self._loop.time() - now) * 1000),
+                )
                 return calls.refuse(
                     calls.Kind.RATE_EXCEEDED,
-                    f"client account {account.name} exceeds its rate; held: {held}",
+                    f"client account {account.name} exceeds its rate",
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
