Answer 503 while no configuration is known

Ruled out: a stale state (the ping was confirmed after the change). Change: without any route a daemon is not ready and refuses as not run.

--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -204,8 +204,8 @@
 
     def is_ready(self, now: float) -> bool:
         """Whether callers should send their requests here."""
-        is_known = self.source.state.revision > 0
-        return is_known and self.source.is_fresh(now) and not self._draining
+        is_configured = bool(self.source.state.routes)
+        return is_configured and self.source.is_fresh(now) and not self._draining
 
     async def drain(self) -> None:
         """Refuse new calls, finish accepted ones, and return when empty.
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -160,6 +160,11 @@
             return calls.Refusal(
                 calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
             )
+        if not self._source.state.routes:
+            # A fleet without any route has not been configured yet.
+            return calls.Refusal(
+                calls.Kind.CONTROL_STALE, message="no configuration is known yet"
+            )
         return calls.Refusal(calls.Kind.NO_ROUTE, message=f"no route for {wanted!r}")
 
     def _is_served(self, route: model.Route) -> bool:
