--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -258,7 +258,7 @@
             metrics.Metrics(),
             limiter.Places(),
             admission.Fifo(),
-            known=known,
+            target_presence=known,
         )
         dispatcher.on_presence()
         dispatcher.in_flight = dispatcher.limit
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -97,14 +97,14 @@
         contexts: tls.Contexts | None = None,
         rng: random.Random | None = None,
         rate: parts.Rate | None = None,
-        spoken: dialect.Dialect | None = None,
-        known: presence.Presence | None = None,
+        header_dialect: dialect.Dialect | None = None,
+        target_presence: presence.Presence | None = None,
         decisions: decisionlog.DecisionLog | None = None,
     ):
         self._settings = settings
         self._decisions = decisions or decisionlog.Silent()
-        self._dialect = spoken or dialect.Native()
-        self.presence = known or presence.Presence()
+        self._dialect = header_dialect or dialect.Native()
+        self.presence = target_presence or presence.Presence()
         self._identity = identity
         self.source = source
         self._rate = rate
@@ -385,7 +385,7 @@
             rate=self._rate,
             budgets=self.budgets,
             serve_open_when_stale=self._get("serve_open_when_stale"),
-            spoken=self._dialect,
+            header_dialect=self._dialect,
             service=self.service,
             decisions=self._decisions,
         )
@@ -551,8 +551,8 @@
 
 def make(
     setup: Setup,
-    spoken: dialect.Dialect | None = None,
-    known: presence.Presence | None = None,
+    header_dialect: dialect.Dialect | None = None,
+    target_presence: presence.Presence | None = None,
     decisions: decisionlog.DecisionLog | None = None,
 ) -> Daemon:
     """Return a daemon whose watch has started; needs a running event loop."""
@@ -561,8 +561,8 @@
     holder = limits.Holder()
     source = make_watch(setup, identity, holder)
     rate = spending.Spender(holder, source.ping_soon)
-    if known is not None:
-        source.announce_as(known.accepts_calls)
+    if target_presence is not None:
+        source.announce_as(target_presence.accepts_calls)
     source.start()
     made = Daemon(
         settings,
@@ -570,8 +570,8 @@
         source,
         contexts,
         rate=rate,
-        spoken=spoken,
-        known=known,
+        header_dialect=header_dialect,
+        target_presence=target_presence,
         decisions=decisions,
     )
     source.complete_copies = made.complete_copies
@@ -580,7 +580,7 @@
 
 def run(
     path: str,
-    spoken: dialect.Dialect | None = None,
+    header_dialect: dialect.Dialect | None = None,
     must_announce: bool = False,
     extend: Callable[[Daemon], list[Listener]] | None = None,
     log_level: str = "info",
@@ -598,9 +598,9 @@
     logs.set_up(name, log_level, decisionlog.TextStream(writer))
 
     async def start() -> None:
-        known = presence.Presence(must_announce) if must_announce else None
+        target_presence = presence.Presence(must_announce) if must_announce else None
         decisions = decisionlog.DecisionLog(name, writer)
-        made = make(setup, spoken, known, decisions)
+        made = make(setup, header_dialect, target_presence, decisions)
         await serve(made, extend(made) if extend else [])
 
     clock.run(start())
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -51,11 +51,11 @@
         concurrency: limiter.ConcurrencyLimiter,
         queue: admission.AdmissionQueue,
         learnt: pressure.LearntLevels | None = None,
-        spoken: dialect.Dialect | None = None,
-        known: presence.Presence | None = None,
+        header_dialect: dialect.Dialect | None = None,
+        target_presence: presence.Presence | None = None,
     ):
-        self._dialect = spoken or dialect.Native()
-        self._presence = known or presence.Presence()
+        self._dialect = header_dialect or dialect.Native()
+        self._presence = target_presence or presence.Presence()
         self.pool = pool
         self.tokens = tokens
         self.in_flight = 0
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -71,7 +71,7 @@
         rate: parts.Rate | None = None,
         budgets: retries.Budgets | None = None,
         serve_open_when_stale: bool = False,
-        spoken: dialect.Dialect | None = None,
+        header_dialect: dialect.Dialect | None = None,
         service: str = "",
         decisions: decisionlog.DecisionLog | None = None,
     ):
@@ -82,7 +82,7 @@
         self._forwarder = forwarder
         self._metrics = measured
         self._rng = rng
-        self._dialect = spoken or dialect.Native()
+        self._dialect = header_dialect or dialect.Native()
         self._service = service
         self._log = decisions or decisionlog.Silent()
         self._levels = levels or pressure.LearntLevels()
