Close the connection on which another call's answer came, and log unclear outcomes

Cause, found by reading: a connection whose answer belonged to another call was kept, so that the call's own answer could meet the next call, which would fail as well. Change: it is closed. Failed reads and changes of the configuration get a log line.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,6 +8,7 @@
 from toucanfold import (
     admission,
     calls,
+    dialect,
     dispatch,
     httpclient,
     httpserver,
@@ -273,3 +274,33 @@
         assert dispatcher.queued == 0
 
     helpers.run(check())
+
+
+class _Crossed(dialect.Native):
+    """Takes each answer for that of another call."""
+
+    def judge(self, call, answer):
+        return dialect.Verdict(is_own=False)
+
+
+def test_connection_with_another_calls_answer_is_closed():
+    """Guards against an answer that arrives late and meets the next call."""
+
+    async def check():
+        async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+            address = await fleet.target(fleetparts.Recorder())
+            dispatcher = dispatch.Dispatcher(
+                httpclient.Pool(address, 5),
+                calls.TokenTable(),
+                metrics.Metrics(),
+                limiter.Fixed(5),
+                admission.Fifo(),
+                header_dialect=_Crossed(),
+            )
+            answer = await dispatcher.run(make_call(idempotent=False))
+            assert answer.outcome is calls.Outcome.UNKNOWN
+            assert answer.refusal.kind is calls.Kind.TARGET_FAILED
+            assert len(dispatcher.pool) == 0
+            dispatcher.stop()
+
+    helpers.run(check())
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -167,6 +167,12 @@
         """
         answered = await self.cluster.submit(command, CONFIGURATION_LIMIT_S)
         if isinstance(answered, result.Failure):
+            logging.warning(
+                "configuration %d on %d has no clear outcome: %s",
+                command.version,
+                command.base,
+                answered.failure(),
+            )
             return answered
         outcome = answered.unwrap()["outcome"]
         logging.info(
@@ -187,8 +193,11 @@
         """Return the text of the newest configuration, empty if it is not sure."""
         answered = await self.cluster.request("read", {}, READ_LIMIT_S)
         if isinstance(answered, result.Failure):
+            logging.warning("configuration not read: %s", answered.failure())
             return ""
-        if not await self.cluster.caught_up(answered.unwrap()["revision"]):
+        revision = answered.unwrap()["revision"]
+        if not await self.cluster.caught_up(revision):
+            logging.warning("configuration not read: revision %d is late", revision)
             return ""
         return self.store.document
 
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -266,7 +266,7 @@
         )
         if not isinstance(exchanged, httpclient.result.Success):
             return self._failed(call, exchanged.failure())
-        return self._answered(call, exchanged.unwrap())
+        return self._answered(call, exchanged.unwrap(), acquired)
 
     async def _acquire(self, call: calls.Call) -> httpclient.Connection | calls.Answer:
         connection = self.pool.take_idle()
@@ -284,7 +284,10 @@
         )
 
     def _answered(
-        self, call: calls.Call, answer: httpclient.TargetAnswer
+        self,
+        call: calls.Call,
+        answer: httpclient.TargetAnswer,
+        connection: httpclient.Connection,
     ) -> tuple[calls.Answer, limiter.FinishKind]:
         verdict = self._dialect.judge(call, answer)
         if verdict.refusal is not None:
@@ -292,6 +295,8 @@
             return calls.Answer.refused(verdict.refusal), limiter.FinishKind.SHED
         if not verdict.is_own:
             bodies.drop(answer.body_stream)
+            # The call's own answer may follow, and must not meet the next call.
+            connection.abort()
             crossed = exceptions.TargetError("the answer is another call's", sent=True)
             return self._failed(call, crossed)
         kept = self._dialect.fields_for_caller(answer.headers)
--- a/toucanfold/platform/manifests.py
+++ b/toucanfold/platform/manifests.py
@@ -46,7 +46,8 @@
             return await self._read()
         try:
             body = await bodies.whole(request.body, request.body_stream)
-        except exceptions.BodyAbortedError:
+        except exceptions.BodyAbortedError as error:
+            logging.warning("a configuration did not arrive whole: %s", error)
             return _text(400, "the body broke off")
         read = to_command(body, self._control.secret, self._control.rate_bound)
         if isinstance(read, result.Failure):
