--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -62,14 +62,6 @@
 ReplicaFactory = Callable[[store.Store, Send], Any]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Listener:
-    """A further HTTP listener: the option with its address, and who answers."""
-
-    option: str
-    handler: httpserver.Handler
-
-
 class Control:
     """One control instance: consensus, watchers and the operators' API."""
 
@@ -151,7 +143,7 @@
         """Take changed settings: the seeds; others need a restart."""
         self._settings = settings
 
-    def add(self, listener: Listener) -> None:
+    def add(self, listener: httpserver.Listener) -> None:
         """Add a further listener, which start opens."""
         address = self._settings.get("control", listener.option)
         server = httpserver.Server(listener.handler, httpserver.Limits())
@@ -308,7 +300,7 @@
             self.metrics.report()
 
 
-Extension = Callable[[Control], list[Listener]]
+Extension = Callable[[Control], list[httpserver.Listener]]
 
 
 def first_members(settings: config.Settings) -> dict[str, str]:
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -78,14 +78,6 @@
         return await self.runner.run(call)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Listener:
-    """A further HTTP listener: the option with its address, and who answers."""
-
-    option: str
-    handler: httpserver.Handler
-
-
 class Daemon:
     """All parts of one daemon; source stands for its connection to control."""
 
@@ -196,7 +188,7 @@
         """Take changed settings: the addresses of control; others need a restart."""
         self.source.set_seeds(control_addresses(settings))
 
-    async def listen(self, listener: Listener) -> None:
+    async def listen(self, listener: httpserver.Listener) -> None:
         """Open a further listener; OSError if its address cannot be bound."""
         server = httpserver.Server(listener.handler, httpserver.Limits())
         await server.listen(self._get(listener.option))
@@ -480,7 +472,7 @@
     )
 
 
-async def serve(daemon: Daemon, listeners: Sequence[Listener] = ()) -> None:
+async def serve(daemon: Daemon, listeners: Sequence[httpserver.Listener] = ()) -> None:
     """Run a daemon until SIGTERM or SIGINT, then drain it."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -582,7 +574,7 @@
     path: str,
     header_dialect: dialect.Dialect | None = None,
     must_announce: bool = False,
-    extend: Callable[[Daemon], list[Listener]] | None = None,
+    extend: Callable[[Daemon], list[httpserver.Listener]] | None = None,
     log_level: str = "info",
 ) -> int:
     """Run a daemon from its settings file; raises SettingsError.
--- a/toucanfold/httpserver.py
+++ b/toucanfold/httpserver.py
@@ -76,6 +76,14 @@
         """Return the answer to a malformed, oversize or slow request."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listener:
+    """A further HTTP listener: the option with its address, and who answers."""
+
+    option: str
+    handler: Handler
+
+
 class Connection(asyncio.Protocol):
     """One caller's connection; requests are handled one after the other."""
 
--- a/toucanfold/platform/controlprogram.py
+++ b/toucanfold/platform/controlprogram.py
@@ -1,6 +1,6 @@
 """Composition root of a control instance on the platform."""
 
-from toucanfold import control
+from toucanfold import control, httpserver
 from toucanfold.platform import manifests
 
 
@@ -9,5 +9,5 @@
     return control.run(path, extend=_listeners)
 
 
-def _listeners(made: control.Control) -> list[control.Listener]:
-    return [control.Listener("platform_listen", manifests.Manifests(made))]
+def _listeners(made: control.Control) -> list[httpserver.Listener]:
+    return [httpserver.Listener("platform_listen", manifests.Manifests(made))]
--- a/toucanfold/platform/daemonprogram.py
+++ b/toucanfold/platform/daemonprogram.py
@@ -1,6 +1,6 @@
 """Composition root of the daemon on the platform."""
 
-from toucanfold import daemon
+from toucanfold import daemon, httpserver
 from toucanfold.platform import announcements, fields, readiness
 
 
@@ -9,9 +9,9 @@
     return daemon.run(path, fields.Fields(), must_announce=True, extend=_listeners)
 
 
-def _listeners(made: daemon.Daemon) -> list[daemon.Listener]:
+def _listeners(made: daemon.Daemon) -> list[httpserver.Listener]:
     registry = announcements.Announcements(made.presence, made.on_presence)
     return [
-        daemon.Listener("ready_listen", readiness.Readiness(made)),
-        daemon.Listener("announce_listen", registry),
+        httpserver.Listener("ready_listen", readiness.Readiness(made)),
+        httpserver.Listener("announce_listen", registry),
     ]
--- a/toucanfold/presence.py
+++ b/toucanfold/presence.py
@@ -37,14 +37,12 @@
 class Presence:
     """The newest instance of the daemon's target and whether it takes calls."""
 
-    __slots__ = ("_cold_until", "_ended", "_heard_at", "_must_announce", "_newest")
+    __slots__ = ("_ended", "_must_announce", "_newest")
 
     def __init__(self, must_announce: bool = False):
         self._must_announce = must_announce
         self._newest: Announcement | None = None
         self._ended: dict[str, int] = {}
-        self._heard_at = float("-inf")
-        self._cold_until = float("-inf")
 
     @property
     def instance(self) -> str:
@@ -63,14 +61,6 @@
             return not self._must_announce
         return self._newest.is_ready and not self._has_ended(self._newest)
 
-    def silence_s(self, now: float) -> float:
-        """Return the seconds since the newest instance was last heard of."""
-        return now - self._heard_at
-
-    def is_cold(self, now: float) -> bool:
-        """Whether the target is still slow after its start."""
-        return now < self._cold_until
-
     def on_announcement(self, now: float, heard: Announcement) -> bool:
         """Take an announcement; False if a newer one is known."""
         if self._newest is not None and heard.order <= self._newest.order:
@@ -78,8 +68,6 @@
         if self._has_ended(heard):
             return False
         self._newest = heard
-        self._heard_at = now
-        self._cold_until = now + heard.cold_s
         return True
 
     def on_left(self, now: float, instance: str) -> bool:
