Write each log line once, and never to standard error beside a stream

Cause: absl copies lines from its stderr threshold on to standard error, also when a stream is given. Change: only fatal lines are copied where a stream is given.

--- a/tests/test_decisionlog.py
+++ b/tests/test_decisionlog.py
@@ -1,5 +1,7 @@
 import json
 import os
+import subprocess
+import sys
 import time
 
 from toucanfold import calls, decisionlog
@@ -59,3 +61,21 @@
     assert 5 < len(chosen[0]) < 100
     os.close(reader)
     os.close(descriptor)
+
+
+def test_lines_go_to_one_stream_only():
+    """Guards against a second copy on standard error, which blocks when nobody reads.
+
+    Seen on pendulum-mesh quiet-1: each line of the watch came twice.
+    """
+    program = (
+        "import io, sys; from absl import logging; from toucanfold import logs\n"
+        "stream = io.StringIO(); logs.set_up('p', 'info', stream)\n"
+        "logging.info('started'); logging.warning('slow')\n"
+        "print(stream.getvalue().count('message'))"
+    )
+    ran = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert ran.stdout.strip() == "2"
+    assert ran.stderr == ""
--- a/toucanfold/logs.py
+++ b/toucanfold/logs.py
@@ -47,5 +47,7 @@
     handler.setFormatter(JsonFormatter(process))
     logging.use_absl_handler()
     logging.set_verbosity(level)
-    logging.set_stderrthreshold(level)
+    # absl copies lines from this level on to standard error, where a reader that
+    # stops would block the process.
+    logging.set_stderrthreshold(level if stream is None else "fatal")
     handler.python_handler.stream = stream or sys.stderr
