Return to the nearest control instance when it may be tried again

At the start an instance without a leader is avoided for 5 s; the one early return was used up in that time, so daemons stayed far away for 60 s. Change: the early return is kept until the instance may be tried, and later returns come after 10 s. Test: test_daemon_returns_to_the_nearest_instance_once_it_may_be_tried_again.

--- a/tests/test_watchstate.py
+++ b/tests/test_watchstate.py
@@ -1,6 +1,7 @@
 import json
 import zlib
 
+import helpers
 import hypothesis
 from hypothesis import stateful, strategies
 
@@ -125,3 +126,22 @@
     assert known.is_behind(pong)
     assert known.on_pong(0.1, pong) is None
     assert not known.is_fresh(0.1)
+
+
+def test_daemon_returns_to_the_nearest_instance_once_it_may_be_tried_again():
+    """Guards against a far instance kept for the whole time until the next return.
+
+    Seen on pendulum-mesh quiet-1: at the start the nearest instance had no leader and
+    was avoided for 5 s. The one early return was used up in that time, and two thirds
+    of the daemons watched an instance of another region.
+    """
+
+    async def check():
+        watched = helpers.make_watch("d1", ["near:1", "far:1"])
+        watched._address = "far:1"
+        watched._must_return = True
+        watched._avoid["near:1"] = 5.0
+        assert not watched._should_return(1.0, 0.0)
+        assert watched._should_return(5.0, 0.0)
+
+    helpers.run(check())
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -33,8 +33,9 @@
 CONNECT_S = 0.7
 # An instance that failed is tried again only after the others, or after this time.
 AVOID_S = 5.0
-# Time after which a daemon goes back from a farther instance to the nearest one.
-RETURN_S = 60.0
+# Time after which a daemon goes back from a farther instance to the nearest one. What
+# it says until then is paid for as bytes between regions.
+RETURN_S = 10.0
 ANNOUNCE_LIMIT_S = 3.0
 
 Callback = Callable[[model.FleetState], None]
@@ -328,8 +329,10 @@
             return False
         if now - started_at < RETURN_S and not self._must_return:
             return False
+        if self._returning is not None or self._avoid.get(nearest, 0.0) > now:
+            return False
         self._must_return = False
-        return self._returning is None and self._avoid.get(nearest, 0.0) <= now
+        return True
 
     async def _return(self) -> None:
         """Move to the nearest instance once its link is open."""
