Refuse paths whose normal form belongs to another route

Change: a path with dot segments, doubled slashes, backslashes or their encoded forms is routed a second time in normal form, and refused with 400, not run, if another route or none serves that. All other paths pass byte for byte, after one search by pattern. Test: test_path_that_targets_may_read_as_another_route_is_refused fails before.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -145,6 +145,25 @@
         assert fleetparts.KEY not in reply.body.decode()
 
 
+@scenario
+async def test_path_that_targets_may_read_as_another_route_is_refused():
+    """Guards against a booking that is sent under the profile of lookups."""
+    state = fleetparts.fleet_state()
+    state.profiles["b"] = model.Profile("b", idempotent=False)
+    state.routes["book"] = model.Route("book", "shop", "b", path_prefix="/bookings")
+    async with fleetparts.Fleet(state) as fleet:
+        target = fleetparts.Recorder()
+        await fleet.daemon("a", "shop", await fleet.target(target))
+        for path in ("/x/../bookings/1", "/x/%2e%2E/bookings", "/x/..\\bookings"):
+            reply = await fleetparts.fetch(fleet.address("a"), path=path)
+            assert reply.status == 400
+            assert reply.headers["toucanfold-outcome"] == "not-run"
+        assert target.requests == []
+        reply = await fleetparts.fetch(fleet.address("a"), path="/x//y/../1%2e")
+        assert reply.status == 200
+        assert target.requests[0].path == "/x//y/../1%2e"
+
+
 @scenario
 async def test_drain_cuts_no_request():
     """Guards against a planned stop that loses a request which was accepted."""
--- /dev/null
+++ b/tests/test_paths.py
@@ -0,0 +1,34 @@
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from toucanfold import paths
+
+
+@pytest.mark.parametrize(
+    ("path", "normal"),
+    [
+        ("/lookups/../bookings/1", "/bookings/1"),
+        ("/lookups/%2E%2e/bookings/1", "/bookings/1"),
+        ("/lookups/..%2fbookings/1", "/bookings/1"),
+        ("/lookups/..\\bookings", "/bookings"),
+        ("//bookings//1", "/bookings/1"),
+        ("/lookups/./1", "/lookups/1"),
+        ("/../../a/", "/a/"),
+        ("/a/b/..", "/a/"),
+        ("/", "/"),
+    ],
+)
+def test_normal_form_of_ambiguous_paths(path, normal):
+    assert paths.normal(path) == normal
+
+
+@hypothesis.given(strategies.text("ab./%2e5cE\\", max_size=20))
+def test_normal_forms_are_normal_and_other_paths_are_their_own(text):
+    """Guards against a path that is read in two ways and not recognised."""
+    path = "/" + text
+    found = paths.normal(path)
+    assert "//" not in found and "\\" not in found
+    assert not {".", ".."} & set(found.split("/"))
+    if not paths.is_ambiguous(path):
+        assert found == path
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -15,6 +15,7 @@
     metrics,
     model,
     parts,
+    paths,
     pressure,
     resends,
     retries,
@@ -144,6 +145,12 @@
         if found is None:
             return self._without_route(head.host or head.service)
         route, profile = found
+        if paths.is_ambiguous(path):
+            read = self._lookup.route(
+                head.host, head.service, request.method, paths.normal(path)
+            )
+            if read is None or read[0] is not route:
+                return _bad("the normal form of the path belongs to another route")
         if not self._is_served(route):
             return calls.Refusal(
                 calls.Kind.CONTROL_STALE, message="the configuration may be outdated"
