Show a daemon's metrics as text on the debug listener

Change: GET /metrics on debug_listen gives counters, gauges and quantiles of times in the usual text format, written by prometheus_client, which is imported when first asked for.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -8,6 +8,7 @@
 import fleetparts
 import helpers
 import pytest
+from prometheus_client import parser
 
 from toucanfold import httpserver, link, model, parts
 
@@ -164,6 +165,28 @@
         assert target.requests[0].path == "/x//y/../1%2e"
 
 
+@scenario
+async def test_metrics_are_read_as_text():
+    """Guards against operators who see a problem only in a client's complaint."""
+    async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+        await fleet.daemon("a", "shop", await fleet.target(fleetparts.Recorder()))
+        await fleetparts.fetch(fleet.address("a"))
+        reply = await fleetparts.fetch(fleet.address("a", "debug"), path="/metrics")
+        assert reply.status == 200
+        assert reply.headers["content-type"].startswith("text/plain")
+        families = {
+            family.name: family
+            for family in parser.text_string_to_metric_families(reply.body.decode())
+        }
+        assert families["toucanfold_fresh"].samples[0].value == 1
+        accounts = {
+            sample.labels["account"]
+            for sample in families["toucanfold_seconds"].samples
+        }
+        assert accounts == {"acme"}
+        assert fleetparts.KEY not in reply.body.decode()
+
+
 @scenario
 async def test_drain_cuts_no_request():
     """Guards against a planned stop that loses a request which was accepted."""
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -154,7 +154,8 @@
         self.callers = httpserver.Server(self.entry, self._limits())
         self.egress_server = httpserver.Server(self.egress, self._limits())
         self.debug_server = httpserver.Server(
-            debughttp.DebugHandler(self.dump), httpserver.Limits(max_body=0)
+            debughttp.DebugHandler(self.dump, self._metrics_text),
+            httpserver.Limits(max_body=0),
         )
         self._others: list[httpserver.Server] = []
         self._draining = False
@@ -279,6 +280,25 @@
             "metrics": self.metrics.dump(),
         }
 
+    def _metrics_text(self) -> tuple[bytes, bytes]:
+        # Imported when first asked for, since most daemons are read by statsd.
+        from toucanfold import exposition
+
+        now = asyncio.get_running_loop().time()
+        gauges = {
+            "running": self.running,
+            "in_flight": self.dispatcher.in_flight,
+            "queued": self.dispatcher.queued,
+            "limit": self.dispatcher.limit,
+            "level": self.dispatcher.level,
+            "target_connections": len(self.dispatcher.pool),
+            "links": len(self.peers.dump()),
+            "caller_connections": len(self.callers),
+            "revision": self.source.state.revision,
+            "fresh": int(self.source.is_fresh(now)),
+        }
+        return exposition.CONTENT_TYPE, exposition.text(self.metrics.dump(), gauges)
+
     def _is_empty(self) -> bool:
         is_served = not self.running and not self.callers.busy
         return is_served and self.owner.is_idle and not self._has_slots()
--- a/toucanfold/debughttp.py
+++ b/toucanfold/debughttp.py
@@ -1,4 +1,4 @@
-"""HTTP listener that dumps a process's state as JSON."""
+"""HTTP listener that shows a process's state as JSON and its metrics as text."""
 
 import json
 from collections.abc import Callable
@@ -7,16 +7,21 @@
 from toucanfold import httpserver, replies
 
 Dump = Callable[[], dict[str, Any]]
+# Content type and text of the metrics.
+MetricsText = Callable[[], tuple[bytes, bytes]]
+METRICS_PATH = "/metrics"
 
 
 class DebugHandler:
     """Answers GET requests: / or /debug for all state, /debug/NAME for a part.
 
-    Control instances serve /debug too, so one command reads both.
+    /metrics has the metrics as text. Control instances serve /debug too, so one command
+    reads both.
     """
 
-    def __init__(self, dump: Dump):
+    def __init__(self, dump: Dump, metrics_text: MetricsText | None = None):
         self._dump = dump
+        self._metrics_text = metrics_text
 
     def protocol_refusal(self, status: int, message: str) -> httpserver.Response:
         """Return the answer to a malformed request."""
@@ -30,14 +35,23 @@
 
     async def handle(self, request: httpserver.Request) -> httpserver.Response:
         """Return the dump, or one part of it."""
+        path = request.path.partition("?")[0]
+        if path == METRICS_PATH and self._metrics_text is not None:
+            kind, body = self._metrics_text()
+            return _read(request, kind, body)
         content: Any = self._dump()
-        path = request.path.partition("?")[0].strip("/")
-        name = path.removeprefix("debug").strip("/")
+        name = path.strip("/").removeprefix("debug").strip("/")
         if name and name not in content:
             return replies.broken_request(400, f"use one of: {', '.join(content)}")
         body = json.dumps(content[name] if name else content, default=str).encode()
-        fields = [(b"content-type", b"application/json")]
-        if request.method == "HEAD":
-            fields.append((b"content-length", str(len(body)).encode()))
-            body = b""
-        return httpserver.Response(200, fields, body)
+        return _read(request, b"application/json", body)
+
+
+def _read(
+    request: httpserver.Request, content_type: bytes, body: bytes
+) -> httpserver.Response:
+    fields = [(b"content-type", content_type)]
+    if request.method == "HEAD":
+        fields.append((b"content-length", str(len(body)).encode()))
+        body = b""
+    return httpserver.Response(200, fields, body)
--- /dev/null
+++ b/toucanfold/exposition.py
@@ -0,0 +1,50 @@
+"""Metrics in the text format that monitoring systems read."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from prometheus_client import core, registry
+from prometheus_client import exposition as text_format
+
+CONTENT_TYPE = text_format.CONTENT_TYPE_LATEST.encode()
+MICROSECONDS = 1e-6
+_QUANTILES = (("0.5", "p50_us"), ("0.99", "p99_us"), ("0.999", "p999_us"))
+
+
+class _Dump(registry.Collector):
+    """Turns the dump of metrics.Metrics into families of the library."""
+
+    def __init__(self, dump: dict[str, Any], gauges: Mapping[str, float]):
+        self._dump = dump
+        self._gauges = gauges
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yield counters, gauges and the quantiles of times (s)."""
+        events = core.CounterMetricFamily(
+            "toucanfold_events", "Events by name.", labels=["name"]
+        )
+        for name, amount in self._dump["counters"].items():
+            events.add_metric([name], amount)
+        yield events
+        gauges = {**self._dump["gauges"], **self._gauges}
+        for name, value in gauges.items():
+            yield core.GaugeMetricFamily(f"toucanfold_{name}", name, value=value)
+        yield self._times()
+
+    def _times(self) -> core.Metric:
+        labels = ["name", "account", "importance", "quantile"]
+        times = core.GaugeMetricFamily(
+            "toucanfold_seconds", "Quantiles of times since the start.", labels=labels
+        )
+        for item in self._dump["histograms"]:
+            own = [item["name"], item["account"], item["importance"]]
+            for quantile, field in _QUANTILES:
+                times.add_metric([*own, quantile], item[field] * MICROSECONDS)
+        return times
+
+
+def text(dump: dict[str, Any], gauges: Mapping[str, float]) -> bytes:
+    """Return the text of a dump of metrics.Metrics and of further gauges."""
+    collected = registry.CollectorRegistry()
+    collected.register(_Dump(dump, gauges))
+    return text_format.generate_latest(collected)
