Refuse requests whose chains fail at an overloaded deeper service

A target's calls name no parent, so levels did not pass. Change: chains.Chains counts the own target's calls that are turned away, and lowers the level of the routes whose runs fail meanwhile. Callers refused for pressure come back after 0.3 to 1.3 s instead of at once. Calls of targets are not refused by learnt levels.

--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -14,6 +14,7 @@
 from toucanfold import (
     admission,
     calls,
+    chains,
     clock,
     cmdline,
     config,
@@ -109,6 +110,7 @@
         self.tokens = calls.TokenTable()
         # Levels of the services that this daemon's target calls.
         self.learnt = pressure.LearntLevels()
+        self._chains = chains.Chains()
         self.dispatcher = self._make_dispatcher()
         self.incoming = _Incoming()
         self.peers = peers.Peers(
@@ -365,6 +367,7 @@
             self.learnt,
             self._dialect,
             self.presence,
+            self._chains,
         )
 
     def _make_budgets(self) -> retries.Budgets:
@@ -400,6 +403,7 @@
             header_dialect=self._dialect,
             service=self.service,
             decisions=self._decisions,
+            below=self._chains,
         )
 
     def _on_state(self, state: model.FleetState) -> None:
--- a/toucanfold/dialect.py
+++ b/toucanfold/dialect.py
@@ -43,7 +43,13 @@
 
 
 class Dialect(Protocol):
-    """Reads and writes the header fields of one interface."""
+    """Reads and writes the header fields of one interface.
+
+    Targets_call_at_entry says whether targets send their own calls to the address of
+    callers, with nothing that names the call which caused them.
+    """
+
+    targets_call_at_entry: bool
 
     def read_head(self, request: httpserver.Request) -> Head | calls.Refusal:
         """Return what a request's head says, or why it cannot be served."""
@@ -84,6 +90,8 @@
 class Native:
     """The product's own interface, described in docs/messages.md."""
 
+    targets_call_at_entry = False
+
     def read_head(self, request: httpserver.Request) -> Head | calls.Refusal:
         """Return what a request's head says, or why it cannot be served."""
         if headers.line_has_key(request.method, request.path):
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -8,6 +8,7 @@
     admission,
     bodies,
     calls,
+    chains,
     dialect,
     exceptions,
     headers,
@@ -53,7 +54,9 @@
         learnt: pressure.LearntLevels | None = None,
         header_dialect: dialect.Dialect | None = None,
         target_presence: presence.Presence | None = None,
+        below: chains.Chains | None = None,
     ):
+        self._chains = below or chains.Chains()
         self._dialect = header_dialect or dialect.Native()
         self._presence = target_presence or presence.Presence()
         self.pool = pool
@@ -303,6 +306,7 @@
         passed = calls.Answer(
             answer.status, kept, answer.body, body_stream=answer.body_stream
         )
+        self._chains.on_run(self._loop.time(), call.route, answer.status)
         is_shed = answer.status == 503
         kind = limiter.FinishKind.SHED if is_shed else limiter.FinishKind.OK
         return passed, kind
@@ -370,9 +374,9 @@
         self, call: calls.Call, answer: calls.Answer, token: calls.CallToken | None
     ) -> calls.Answer:
         """Add what the caller's daemon learns from every answer."""
-        answer.level = self._learnt.combined(
-            self._loop.time(), call.pressure_key, self._queue.level_of(call.account)
-        )
+        now = self._loop.time()
+        own = min(self._queue.level_of(call.account), self._chains.level(now, call))
+        answer.level = self._learnt.combined(now, call.pressure_key, own)
         answer.attempts_spent = 0 if token is None else token.attempts_spent
         answer.limit = self.limit
         answer.in_flight = self.active + len(self._queue)
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -6,6 +6,7 @@
 from toucanfold import (
     bodies,
     calls,
+    chains,
     decisionlog,
     dialect,
     headers,
@@ -26,6 +27,9 @@
 MAX_IDEMPOTENCY_KEY_BYTES = 255
 # The retry budget refills with the successes of other calls, so no exact time is known.
 BUDGET_RETRY_MS = 1000
+# Callers that were refused for pressure come back within this time, spread over it, as
+# levels open in about a second.
+PRESSURE_RETRY_MS = (300, 1300)
 
 
 class Admitted:
@@ -75,7 +79,9 @@
         header_dialect: dialect.Dialect | None = None,
         service: str = "",
         decisions: decisionlog.DecisionLog | None = None,
+        below: chains.Chains | None = None,
     ):
+        self._chains = below or chains.Chains()
         self.running = 0
         self.stopping = False
         self._source = source
@@ -213,7 +219,9 @@
         if not self._levels.admits(now, key, call.level, self._rng):
             bodies.drop(call.body_stream)
             return calls.refuse(
-                calls.Kind.OVERLOADED, "a service of this route is overloaded"
+                calls.Kind.OVERLOADED,
+                "a service of this route is overloaded",
+                retry_after_ms=self._rng.randint(*PRESSURE_RETRY_MS),
             )
         is_resend = not call.is_recorded and self._resends.is_resend(now, call, attempt)
         if is_resend and not self._budgets.take(now, call.service):
@@ -243,7 +251,13 @@
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
-        self._levels.on_answer(self._loop.time(), key, answer.level)
+        now = self._loop.time()
+        if account is None and self._dialect.targets_call_at_entry:
+            # Requests without a key are calls of the own target. Refusing one loses the
+            # work of the request that made it, so new requests are refused instead.
+            self._chains.on_called(now, answer)
+        else:
+            self._levels.on_answer(now, key, answer.level)
         return answer
 
     def _to_call(self, request: httpserver.Request, admitted: Admitted) -> calls.Call:
--- a/toucanfold/platform/fields.py
+++ b/toucanfold/platform/fields.py
@@ -23,6 +23,8 @@
 class Fields:
     """The platform's dialect of header fields."""
 
+    targets_call_at_entry = True
+
     def read_head(self, request: httpserver.Request) -> dialect.Head | calls.Refusal:
         """Return what a request's head says, or why it cannot be served."""
         found = request.headers
