Offer a call that one queue refused to another target

Arrivals at targets, also rejected ones, cost a repeat as before. Tests: test_call_refused_in_one_queue_is_offered_to_another_target_without_budget fails before; test_answer_that_left_a_queue_by_the_target_costs_an_attempt.

--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -199,3 +199,27 @@
     streamed.body_stream = object()
     streamed.headers = [(b"Content-Length", b"1000")]
     assert 1000 < router.call_bytes(streamed) < 2000
+
+
+def test_call_refused_in_one_queue_is_offered_to_another_target_without_budget():
+    """Guards against calls that fail in a long queue while another target has room.
+
+    Seen on pendulum-mesh scale-2: 4,500 calls for a busy target failed after one try,
+    since the shared budget of repeats was used up.
+    """
+    queued = calls.refuse(calls.Kind.DEADLINE_EXCEEDED, "not dispatched")
+    queued.undispatched = True
+    for idempotent in (True, False):
+        script = Script(t0=[queued, calls.Answer(200)], t1=queued, t2=queued)
+        answer = helpers.run(
+            three(script).run(soon(attempts_left=0, idempotent=idempotent))
+        )
+        assert len(script.seen) == 2 and len(set(script.names)) == 2
+        assert answer.attempts_spent == 0
+
+
+def test_answer_that_left_a_queue_by_the_target_costs_an_attempt():
+    """Guards against arrivals at targets that no budget counts."""
+    script = Script(t0=OVERLOADED, t1=OVERLOADED, t2=OVERLOADED)
+    helpers.run(three(script).run(soon(attempts_left=0)))
+    assert len(script.seen) == 1
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -162,7 +162,8 @@
 class Answer:
     """A target's answer, or a refusal; levels and limits are of the answering daemon.
 
-    body_stream is None when body holds the whole body.
+    body_stream is None when body holds the whole body. undispatched says that the call
+    left the queue of a target's daemon without being sent to the target.
     """
 
     status: int = 0
@@ -176,6 +177,7 @@
     limit: int = 0
     in_flight: int = 0
     target_seconds: float = 0.0
+    undispatched: bool = False
     body_stream: AsyncIterator[bytes] | None = None
 
     @classmethod
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -168,6 +168,7 @@
             refused = calls.refuse(
                 refusal, "not dispatched", retry_after_ms=RETRY_AFTER_MS
             )
+            refused.undispatched = True
             return self._stamp(call, refused, None)
         return await self._dispatch(call, started_at)
 
--- a/toucanfold/linkcalls.py
+++ b/toucanfold/linkcalls.py
@@ -424,6 +424,7 @@
         limit=answer.limit,
         in_flight=answer.in_flight,
         target_us=int(answer.target_seconds * 1e6),
+        undispatched=answer.undispatched,
     )
 
 
@@ -450,4 +451,5 @@
         limit=message.limit,
         in_flight=message.in_flight,
         target_seconds=message.target_us / 1e6,
+        undispatched=message.undispatched,
     )
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -80,6 +80,7 @@
   limit @12 :UInt32;
   inFlight @13 :UInt32;
   targetUs @14 :UInt64;
+  undispatched @15 :Bool;
 }
 
 struct Body {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -120,6 +120,7 @@
     limit: int = 0
     in_flight: int = 0
     target_us: int = 0
+    undispatched: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/retries.py
+++ b/toucanfold/retries.py
@@ -9,6 +9,9 @@
 # Attempts that never reached a target (its daemon is stopping or was not reachable)
 # cost no allowance, since nothing was dispatched; their number is bounded per hop.
 FREE_REROUTES = 3
+# The same for attempts that a queue before a target refused. In an overload of all
+# targets each of them costs work at another daemon, so there is only one.
+FREE_REQUEUES = 1
 
 HEDGE_QUANTILE = 0.95
 HEDGE_SAMPLES = 128
@@ -81,12 +84,20 @@
 class Allowance:
     """Attempts left for one call at one hop, and what was learnt from its tries."""
 
-    __slots__ = ("_last_was_free", "_reroutes", "_was_unknown", "left", "spent")
+    __slots__ = (
+        "_last_was_free",
+        "_requeues",
+        "_reroutes",
+        "_was_unknown",
+        "left",
+        "spent",
+    )
 
     def __init__(self, attempts_left: int):
         self.left = max(0, attempts_left)
         self.spent = 0
         self._reroutes = FREE_REROUTES
+        self._requeues = FREE_REQUEUES
         self._last_was_free = False
         self._was_unknown = False
 
@@ -110,11 +121,17 @@
         """Decide on another try and spend an attempt and a token for it."""
         if not is_retryable(call, answer) or now >= call.deadline:
             return False
-        self._last_was_free = is_free(answer) and self._reroutes > 0
-        if self._last_was_free:
+        self._last_was_free = self._take_free(answer)
+        return self._last_was_free or self.take(now, call, budgets)
+
+    def _take_free(self, answer: calls.Answer) -> bool:
+        if is_free(answer) and self._reroutes > 0:
             self._reroutes -= 1
             return True
-        return self.take(now, call, budgets)
+        if is_undispatched(answer) and self._requeues > 0:
+            self._requeues -= 1
+            return True
+        return False
 
     def take(self, now: float, call: calls.Call, budgets: Budgets) -> bool:
         """Spend an attempt and a token; False if either is missing."""
@@ -183,6 +200,12 @@
     return refusal.kind in _FREE and not answer.retried
 
 
+def is_undispatched(answer: calls.Answer) -> bool:
+    """Whether a try ended in the queue before a target."""
+    is_certain = answer.outcome is calls.Outcome.NOT_RUN and not answer.retried
+    return answer.undispatched and is_certain
+
+
 def is_retryable(call: calls.Call, answer: calls.Answer) -> bool:
     """Whether the outcome permits another try anywhere."""
     refusal = answer.refusal
--- a/toucanfold/router.py
+++ b/toucanfold/router.py
@@ -156,7 +156,7 @@
         elif answer.outcome is calls.Outcome.UNKNOWN:
             self._on_timeout(now, candidate)
         else:
-            if refusal.kind is calls.Kind.OVERLOADED:
+            if refusal.kind is calls.Kind.OVERLOADED or answer.undispatched:
                 candidate.refused_at = now
             self._readmit(candidate)
 
