Send less to targets that are slow against the others of their service

Change: each entry learns a target's time against the median of the route; a target more than three times slower has less capacity, and the choice prefers faster ones. Quick failures are no sign of speed.

--- a/toucanfold/candidates.py
+++ b/toucanfold/candidates.py
@@ -1,6 +1,6 @@
 """What a daemon knows about each target that may get its calls."""
 
-from toucanfold import model
+from toucanfold import model, slowness
 
 # Bounds the links of a daemon; see section 2 of the design.
 LINKS_PER_SERVICE = 8
@@ -22,6 +22,10 @@
 SLOW_START_SHARE = 0.1
 # In-flight counts learnt from answers are old news after this time.
 LEARNT_LOAD_S = 1.0
+# Times as slow as usual up to which a target keeps its whole capacity. The speeds of
+# sound targets differ by as much, and all their places are needed under load. The mean
+# of usual calls is about 1.5, since the usual time is a median.
+TOLERATED_SLOWNESS = 3.0
 
 
 # Links without use for 60 s are closed by either side, which is no failure.
@@ -45,6 +49,7 @@
         "refused_at",
         "silent",
         "since",
+        "slowness",
         "succeeded_at",
         "target",
         "tier",
@@ -62,6 +67,7 @@
         self.others = 0
         self.others_at = float("-inf")
         self.refused_at = float("-inf")
+        self.slowness = slowness.Slowness()
         self.failures = 0
         self.failing_since = float("inf")
         self.succeeded_at = float("-inf")
@@ -99,12 +105,14 @@
         return self.in_flight + self.others * (1.0 - age / LEARNT_LOAD_S)
 
     def capacity(self, now: float) -> float:
-        """Return the learnt limit, reduced during slow start."""
-        return self.limit * self.weight(now)
+        """Return the learnt limit, reduced during slow start and for a slow target."""
+        excess = max(1.0, self.slowness.value(now) / TOLERATED_SLOWNESS)
+        return self.limit * self.weight(now) / excess
 
     def score(self, now: float) -> float:
-        """Return load after one more call over capacity; lower is better."""
-        return (self.load(now) + 1.0) / self.capacity(now)
+        """Return load after one more call over capacity, by speed; lower is better."""
+        relative = (self.load(now) + 1.0) / self.capacity(now)
+        return relative * self.slowness.value(now)
 
     def is_full(self, now: float) -> bool:
         """Whether calls should go further away rather than here."""
@@ -130,9 +138,11 @@
         "candidates",
         "ejected",
         "next_probe",
+        "usual_times",
     )
 
     def __init__(self) -> None:
+        self.usual_times = slowness.UsualTimes()
         self.candidates: dict[str, Candidate] = {}
         self.ejected: list[Candidate] = []
         self.next_probe = float("inf")
--- a/toucanfold/forward.py
+++ b/toucanfold/forward.py
@@ -208,7 +208,7 @@
             self._router.on_failure(self._clock(), name)
             raise
         now = self._clock()
-        self._router.on_answer(now, name, answer, now - started_at)
+        self._router.on_answer(now, name, answer, now - started_at, call.route)
         if answer.refusal is None:
             self._delays.on_answer(call.route, now - started_at)
         return answer
--- a/toucanfold/router.py
+++ b/toucanfold/router.py
@@ -136,9 +136,17 @@
                 self.budget.charge(now, size_bytes - reserved)
 
     def on_answer(
-        self, now: float, name: str, answer: calls.Answer, seconds: float
+        self,
+        now: float,
+        name: str,
+        answer: calls.Answer,
+        seconds: float,
+        route: str = "",
     ) -> None:
-        """Learn limit, load, refusals and failures from an answer."""
+        """Learn limit, load, speed, refusals and failures from an answer.
+
+        Seconds is the time since the call was sent, route that of the call.
+        """
         candidate = self._finish(name)
         if candidate is None:
             return
@@ -151,10 +159,14 @@
         refusal = answer.refusal
         if refusal is None:
             self._on_success(now, candidate)
+            if answer.status < 500:
+                # A target that fails at once is not a fast one.
+                self._note_speed(now, candidate, route, answer.target_seconds)
         elif refusal.kind in _FAILED_KINDS:
             self._count_failure(now, candidate)
         elif answer.outcome is calls.Outcome.UNKNOWN:
             self._on_timeout(now, candidate)
+            self._note_speed(now, candidate, route, seconds)
         else:
             if refusal.kind is calls.Kind.OVERLOADED or answer.undispatched:
                 candidate.refused_at = now
@@ -195,6 +207,7 @@
                 "in_flight": item.in_flight,
                 "limit": item.limit,
                 "weight": round(item.weight(now), 2),
+                "slowness": round(item.slowness.value(now), 2),
                 "ejected": item.is_ejected,
                 "full": item.is_full(now),
             }
@@ -297,6 +310,12 @@
         candidate.failing_since = float("inf")
         candidate.succeeded_at = now
 
+    def _note_speed(
+        self, now: float, candidate: candidates.Candidate, route: str, seconds: float
+    ) -> None:
+        usual = self._services[candidate.target.service].usual_times
+        candidate.slowness.on_answer(now, usual.ratio(route, seconds))
+
     def _on_timeout(self, now: float, candidate: candidates.Candidate) -> None:
         """Count a timeout as a failure only if the service works elsewhere.
 
