--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -1,6 +1,8 @@
 import asyncio
 import time
 
+import helpers
+
 from toucanfold import clock
 
 
@@ -23,3 +25,29 @@
         assert loop.time() == 12345.0
     finally:
         loop.close()
+
+
+def test_timers_never_fire_before_their_time():
+    """Guards against a deadline's timer that runs while time is left.
+
+    Seen in a CI run: a call whose target was silent got 502 instead of 504, since its
+    timer closed the connection a part of a millisecond before the deadline.
+    """
+
+    async def check():
+        loop = asyncio.get_running_loop()
+        early = []
+
+        def fire(when):
+            if loop.time() < when:
+                early.append(when - loop.time())
+
+        for number in range(300):
+            when = loop.time() + 0.001 + number * 0.00037
+            loop.call_at(when, fire, when)
+            loop.call_later(0.0004, fire, loop.time() + 0.0004)
+            await asyncio.sleep(0.0003)
+        await asyncio.sleep(0.2)
+        assert not early
+
+    helpers.run(check())
