Log which accounts' shares do not reach their holders

Change: the leader logs once a second the account with most holders that want tokens and have capacity for none. The line 'no token in time' tells how long control took to answer. No decision is changed.

The new test fails without the method it calls; tests of leases, limits, rate limiter and control passed.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -405,3 +405,15 @@
     grantor.on_incarnation_terminated(1.0, "a", 1)
     assert grantor.on_ping(1.1, "a", 1, 1, demand_for(5.0), []) == []
     assert grantor.on_ping(1.5, "a", 1, 1, demand_for(5.0), []) == []
+
+
+def test_leader_reports_holders_without_capacity():
+    """Guards against refusals whose cause no log line of the leader shows."""
+    grantor, _ = new_leader({ACCOUNT: (1.0, 2.0)}, daemons="abc")
+    share = messages.Share(ACCOUNT, 0.0, 1.0, 0.0, 0)
+    for name, shares in (("a", [share]), ("b", [share]), ("c", [])):
+        grantor.on_ping(0.1, name, 1, 1, demand_for(1.0), shares)
+    [starvation] = grantor.starvations(0.2)
+    assert (starvation.starved, starvation.holders) == (1, 3)
+    assert starvation.leased_burst == 2.0
+    assert "1 of 3 holders" in str(starvation)
--- a/toucanfold/leaderinterfaces.py
+++ b/toucanfold/leaderinterfaces.py
@@ -1,6 +1,6 @@
 """Interfaces that the leader of control requires: replica, grantor, slot planner."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from typing import Any, Protocol
 
 from returns import result
@@ -87,6 +87,12 @@
     ) -> list[messages.Share]:
         """Renew a daemon's shares and return its grants."""
 
+    def starvations(self, now: float) -> Sequence[object]:
+        """Return a printable item for each account with starved holders, worst first.
+
+        A starved holder wants tokens and has capacity for none.
+        """
+
     def on_incarnation_terminated(
         self, now: float, daemon: str, incarnation: int
     ) -> None:
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -25,6 +25,7 @@
 )
 
 CHECK_INTERVAL_S = 0.2
+STARVATION_LOG_INTERVAL_S = 1.0
 # A daemon that has not confirmed a revision within this time of its being applied
 # refuses callers' requests.
 STATE_EXPIRY_S = 3.0
@@ -67,6 +68,7 @@
         self._proposing: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._planned_revision = -1
+        self._starvations_logged_at = float("-inf")
         # Complete backup copies by daemon and incarnation, as reported in this term.
         self._copies_by_incarnation: dict[
             tuple[str, int], frozenset[leaderinterfaces.CompleteCopy]
@@ -105,6 +107,7 @@
                     self._mark_lost()
                     self._plan_slots()
                     self._admit_pending_join()
+                    self._log_starvations()
             except Exception:
                 logging.exception("a periodic check of the leader failed")
 
@@ -288,6 +291,22 @@
             )
             self._propose(f"lost {target.name}", command)
 
+    def _log_starvations(self) -> None:
+        """Log the account with most starved holders, at most one line a second."""
+        if self._grantor is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if now - self._starvations_logged_at < STARVATION_LOG_INTERVAL_S:
+            return
+        self._starvations_logged_at = now
+        starvations = self._grantor.starvations(now)
+        if starvations:
+            logging.warning(
+                "shares of %d accounts do not reach their holders; %s",
+                len(starvations),
+                starvations[0],
+            )
+
     def _plan_slots(self) -> None:
         if self._planner is None or self._planned_revision == self._store.revision:
             return
--- a/toucanfold/leases.py
+++ b/toucanfold/leases.py
@@ -49,6 +49,28 @@
     tokens: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Starvation:
+    """Holders of one account that want tokens and have no capacity for any."""
+
+    account: str
+    starved: int
+    holders: int
+    burst: float
+    leased_burst: float
+    pool_tokens: float
+    # Tokens that holders reported in their last pings, in use or not.
+    held_tokens: float
+
+    def __str__(self) -> str:
+        return (
+            f"account {self.account}: {self.starved} of {self.holders} holders want "
+            f"tokens and have capacity for none; {self.leased_burst:.1f} of "
+            f"{self.burst:.1f} tokens of capacity are leased, {self.held_tokens:.1f} "
+            f"tokens are held and {self.pool_tokens:.1f} are in the pool"
+        )
+
+
 class _Lease:
     """Upper bound of the rate and burst of one account that one holder may have."""
 
@@ -302,6 +324,18 @@
                     account.cap_leases()
         return self._unreported is not None
 
+    def starvations(self, now: float) -> list[Starvation]:
+        """Return the accounts with starved holders, those with most of them first."""
+        if self.is_recovering(now):
+            return []
+        found = [
+            self._starvation(now, name, account)
+            for name, account in self._accounts.items()
+        ]
+        return sorted(
+            (item for item in found if item.starved), key=lambda item: -item.starved
+        )
+
     def dump(self, now: float) -> dict[str, dict[str, float]]:
         """Return limits, pool and number of holders by account (tokens/s, tokens)."""
         result = {}
@@ -317,6 +351,21 @@
             }
         return result
 
+    @staticmethod
+    def _starvation(now: float, name: str, account: _Account) -> Starvation:
+        account.pool.refill(now)
+        active = [lease for lease in account.holders.values() if lease.offer.wanted > 0]
+        starved = [lease for lease in active if lease.burst < 1]
+        return Starvation(
+            account=name,
+            starved=len(starved),
+            holders=len(active),
+            burst=account.burst,
+            leased_burst=account.leased_burst,
+            pool_tokens=account.pool.tokens,
+            held_tokens=math.fsum(lease.offer.tokens for lease in active),
+        )
+
     def _account(self, now: float, name: str) -> _Account:
         account = self._accounts.get(name)
         if account is None:
--- a/toucanfold/limits.py
+++ b/toucanfold/limits.py
@@ -293,6 +293,7 @@
 
     __slots__ = (
         "_accounts",
+        "_answer_took_s",
         "_early_ping_interval_s",
         "_limits",
         "_needs_ping",
@@ -305,6 +306,8 @@
         # Called after a grant that added tokens.
         self.on_granted: Callable[[], None] | None = None
         self._accounts: dict[str, _Lease] = {}
+        # Time from the last answered ping to its answer.
+        self._answer_took_s = 0.0
         self._limits: dict[str, model.Account] = {}
         self._pinged_at = -math.inf
         self._early_ping_interval_s = MIN_EARLY_PING_INTERVAL_S
@@ -368,6 +371,7 @@
         """Apply the confirmed answer to the ping sent at sent_at."""
         if raft_term < self.raft_term:
             return
+        self._answer_took_s = now - sent_at
         if raft_term > self.raft_term:
             self._start_term(raft_term)
         if now >= sent_at + SHARE_LEASE_S:
@@ -436,7 +440,8 @@
             f"{bucket.rate:.2f} calls/s, {bucket.tokens:.2f} of {bucket.burst:.2f} "
             f"tokens, load {lease.meter.rate(now):.2f} calls/s, "
             f"ends in {max(0.0, lease.expires_at - now):.2f} s, "
-            f"{len(lease.waiting)} waiting"
+            f"{len(lease.waiting)} waiting, control answered in "
+            f"{self._answer_took_s:.3f} s"
         )
 
     def _lease(self, now: float, account: str) -> _Lease:
