Reproduce refusals of accounts with fewer tokens than entries

Change: a simulated fleet of 73 to 300 entries in six data centres, without network faults or processor time.

The bar is 0.1%.

--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -9,8 +9,8 @@
 MAX_RETRY_DELAY_S = 0.02
 
 
-def target(name, incarnation, state="up"):
-    return model.Target(name, incarnation, "s", "r", "d", "127.0.0.1:1", state)
+def target(name, incarnation, state="up", place=("r", "d")):
+    return model.Target(name, incarnation, "s", *place, "127.0.0.1:1", state)
 
 
 def state_of(accounts, daemons):
@@ -59,15 +59,21 @@
 
 
 class Fleet:
-    """Daemons that ping one leader without failures; time in seconds."""
+    """Daemons that ping one leader without failures; time in seconds.
 
-    def __init__(self, daemons, accounts, delay_s=0.02, rng=None):
+    places lists pairs of region and data centre, among which the daemons are divided.
+    """
+
+    def __init__(self, daemons, accounts, delay_s=0.02, places=(("r", "d"),)):
         self.now = 0.0
         self.delay_s = delay_s
         self.accounts = accounts
         self.events, self.order = [], itertools.count()
         self.holders = {(f"d{i}", 1): limits.ShareHolder() for i in range(daemons)}
-        self.state = state_of(accounts, dict.fromkeys(self.holders, "up"))
+        self.state = state_of(accounts, {})
+        for index, (name, incarnation) in enumerate(self.holders):
+            place = places[index % len(places)]
+            self.state.targets[name] = target(name, incarnation, place=place)
         self.grantor = leases.Grantor()
         self.grantor.on_elected(0.0, 1, self.state)
         self.pings = 0
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -39,6 +39,24 @@
     assert refused_fraction(rate, burst, 0.63) <= 0.001
 
 
+MESH = [(f"r{number // 2}", f"d{number}") for number in range(6)]
+
+
+@pytest.mark.parametrize(("entries", "rate"), [(73, 12), (73, 20), (91, 6), (300, 20)])
+@pytest.mark.parametrize("load", [0.63, 0.9])
+def test_more_entries_than_tokens_refuse_hardly_any_call_within_the_rate(
+    entries, rate, load
+):
+    """Guards against capacity that idle entries keep while others have none."""
+    refill, capacity = _enforced(rate)
+    rng = random.Random(1)
+    fleet = fleetsim.Fleet(entries, {"a": (refill, capacity)}, places=MESH)
+    keys = list(fleet.holders)
+    fleet.poisson(rng, "a", rate * load, lambda _: rng.choice(keys), 1.0, 21.0)
+    fleet.run(22.0)
+    assert fleet.refused["a"] <= 0.001 * fleet.offered["a"]
+
+
 def test_few_holders_keep_their_whole_rate():
     assert fairshare.local_rate_fraction(100.0, fairshare.MAX_LOCAL_HOLDERS) == 1.0
 
