Take tokens of small accounts at one holder for a group of entries

Cause: a share is useful only with a whole token, and each entry that a caller uses was a holder of its own. An account of 20 calls/s has 33 tokens of capacity for 73 entries. Entries with 0.3 calls/s keep theirs for 33 s (ten mean intervals), so the pool has no capacity left and the others get shares of 0 tokens, renewed again and again.

Change: an account is held by as many daemons as leave each three tokens of its capacity: each daemon, or one a data centre, a region or the fleet. holderselection chooses it by rendezvous hashing; remotetokens takes tokens there over the links between daemons, skips holders that do not reply for 1 s, and falls back to the entry's own holder. Only holders of real shares give out tokens, so the sum stays within the account's limits.

--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 
-from toucanfold import leases, limits, model
+from toucanfold import holderselection, leases, limits, model
 
 # Maximum retry delay of a waiting call.
 MAX_RETRY_DELAY_S = 0.02
@@ -74,6 +74,7 @@
         for index, (name, incarnation) in enumerate(self.holders):
             place = places[index % len(places)]
             self.state.targets[name] = target(name, incarnation, place=place)
+        self.selectors = {}
         self.grantor = leases.Grantor()
         self.grantor.on_elected(0.0, 1, self.state)
         self.pings = 0
@@ -83,6 +84,12 @@
         self.refused = dict.fromkeys(accounts, 0)
         for index, (key, holder) in enumerate(self.holders.items()):
             holder.on_state(0.0, self.state)
+            place = self.state.targets[key[0]]
+            selector = holderselection.HolderSelector(
+                place.region, place.data_centre, place.name
+            )
+            selector.on_state(self.state)
+            self.selectors[key] = selector
             self.at(index * 0.5 / daemons, self._tick, key)
 
     def at(self, when, action, *arguments):
@@ -119,7 +126,14 @@
         holder = self.holders[key]
         holder.on_grants(self.now, sent_at, self.grantor.raft_term, answer)
 
+    def call_through_entry(self, entry, account):
+        """Offer a call to an entry, whose holder it asks without a delay."""
+        candidates = self.selectors[entry].candidates(account)
+        key = (candidates[0].name, candidates[0].incarnation) if candidates else entry
+        self.call(key, account)
+
     def call(self, key, account, first_attempt_at=None):
+        """Offer a call to a holder."""
         if first_attempt_at is None:
             self.offered[account] += 1
         result = self.holders[key].try_acquire(
@@ -134,9 +148,9 @@
             retry_delay_s = min(MAX_RETRY_DELAY_S, result.seconds)
             self.at(self.now + retry_delay_s, self.call, key, account, first)
 
-    def poisson(self, rng, account, rate, pick, start, end):
+    def poisson(self, rng, account, rate, pick, start, end, offer=None):
         """Offer Poisson traffic (calls/s); pick(time) returns the key of the entry."""
         when = start + rng.expovariate(rate)
         while when < end:
-            self.at(when, self.call, pick(when), account)
+            self.at(when, offer or self.call, pick(when), account)
             when += rng.expovariate(rate)
--- a/tests/test_fairshare.py
+++ b/tests/test_fairshare.py
@@ -52,7 +52,15 @@
     rng = random.Random(1)
     fleet = fleetsim.Fleet(entries, {"a": (refill, capacity)}, places=MESH)
     keys = list(fleet.holders)
-    fleet.poisson(rng, "a", rate * load, lambda _: rng.choice(keys), 1.0, 21.0)
+    fleet.poisson(
+        rng,
+        "a",
+        rate * load,
+        lambda _: rng.choice(keys),
+        1.0,
+        21.0,
+        fleet.call_through_entry,
+    )
     fleet.run(22.0)
     assert fleet.refused["a"] <= 0.001 * fleet.offered["a"]
 
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -26,6 +26,7 @@
     exceptions,
     forward,
     headerformat,
+    holderselection,
     httpclient,
     httpserver,
     interfaces,
@@ -43,6 +44,7 @@
     pressure,
     ratelimiter,
     reloading,
+    remotetokens,
     retries,
     router,
     targetstatus,
@@ -102,7 +104,6 @@
         self.target_status = target_status or targetstatus.TargetStatus()
         self._identity = identity
         self.source = source
-        self._rate = rate
         self._contexts = contexts or tls.Contexts()
         self.rng = rng or random.Random()
         self.metrics = metrics.Metrics(
@@ -122,6 +123,10 @@
             self._contexts.link_client,
             self._contexts.link_server,
         )
+        self._holder_selector = holderselection.HolderSelector(
+            identity.region, identity.data_centre, identity.name
+        )
+        self._rate = self._make_rate_limiter(rate)
         self.router = router.Router(
             identity.name,
             identity.region,
@@ -379,6 +384,17 @@
             self._downstream,
         )
 
+    def _make_rate_limiter(
+        self, local: interfaces.RateLimiter | None
+    ) -> interfaces.RateLimiter | None:
+        if local is None:
+            return None
+        delegating = remotetokens.DelegatingRateLimiter(
+            local, self._holder_selector, self.peers, self.metrics
+        )
+        self.peers.tokens = delegating
+        return delegating
+
     def _make_budgets(self) -> retries.RetryBudgets:
         fraction = self._get("repeat_part")
         if not fraction:
@@ -422,6 +438,7 @@
         """
         now = asyncio.get_running_loop().time()
         self.router.update(now, state)
+        self._holder_selector.on_state(state)
         self.owner.on_state(now, state)
         self.callers.limits = caller_limits(self._limits(), state.configuration)
         if self._get("repeat_part"):
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -22,6 +22,8 @@
     raft @16 :Raft;
     relay @17 :Relay;
     relayReply @18 :RelayReply;
+    tokenRequest @19 :TokenRequest;
+    tokenReply @20 :TokenReply;
   }
 }
 
@@ -156,6 +158,19 @@
   grant @4 :UInt64;
 }
 
+struct TokenRequest {
+  id @0 :UInt64;
+  account @1 :Text;
+  remainingMs @2 :UInt32;
+}
+
+struct TokenReply {
+  id @0 :UInt64;
+  taken @1 :Bool;
+  retryAfterMs @2 :UInt32;
+  share @3 :Text;
+}
+
 struct Announcement {
   name @0 :Text;
   incarnation @1 :UInt64;
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -244,6 +244,30 @@
     grant: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class TokenRequest(Message):
+    """Asks another daemon's share holder for a token of an account.
+
+    remaining_ms is the time until the deadline of the call that needs it.
+    """
+
+    TAG = "tokenRequest"
+    id: int = 0
+    account: str = ""
+    remaining_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TokenReply(Message):
+    """Whether a token was taken; a refusal describes the share for the log."""
+
+    TAG = "tokenReply"
+    id: int = 0
+    taken: bool = False
+    retry_after_ms: int = 0
+    share: str = ""
+
+
 @dataclasses.dataclass(slots=True)
 class Announcement(Message):
     """A daemon's description of its target; state is up or draining."""
--- a/toucanfold/peers.py
+++ b/toucanfold/peers.py
@@ -23,6 +23,16 @@
         """Handle an Intent, IntentAck, Record or RecordSync."""
 
 
+class TokenMessageHandler(Protocol):
+    """Handles the messages about tokens of client accounts."""
+
+    def on_message(self, source: link.Link, message: messages.Message) -> None:
+        """Handle a TokenRequest or TokenReply."""
+
+    def on_close(self, closed: link.Link) -> None:
+        """Handle the loss of a link over which replies may be due."""
+
+
 class _Peer:
     """The link to one other daemon, and its backoff after failed connections."""
 
@@ -49,6 +59,7 @@
         server_tls: ssl.SSLContext | None = None,
     ):
         self.owner: RecordMessageHandler | None = None
+        self.tokens: TokenMessageHandler | None = None
         # Called with (now, name, is_up) when a link opens, closes or cannot be opened,
         # and when its peer sends Goaway.
         self.on_link: Callable[[float, str, bool], None] | None = None
@@ -180,6 +191,11 @@
             if self.owner is not None:
                 self.owner.on_message(opened, message)
             return
+        if isinstance(message, messages.TokenRequest | messages.TokenReply):
+            session.last_used_at = self._loop.time()
+            if self.tokens is not None:
+                self.tokens.on_message(opened, message)
+            return
         session.on_message(message)
         if type(message) is messages.Goaway and opened.peer is not None:
             self._report_link(opened.peer.name, False)
@@ -192,6 +208,8 @@
         name = opened.peer.name if opened.peer else ""
         logging.info("link to %s closed: %s", name, reason)
         session.on_close(reason)
+        if self.tokens is not None:
+            self.tokens.on_close(opened)
         peer = self._peers.get(name)
         if peer is not None and peer.session is session:
             peer.session = None
--- a/toucanfold/ratelimiter.py
+++ b/toucanfold/ratelimiter.py
@@ -14,6 +14,11 @@
 MAX_WAIT_FRACTION = 0.25
 
 
+def max_wait_s(remaining_s: float) -> float:
+    """Return how long a call may wait for a token, by the time until its deadline."""
+    return min(limits.MAX_WAIT_S, MAX_WAIT_FRACTION * max(0.0, remaining_s))
+
+
 class AccountRateLimiter:
     """Takes tokens from a share holder; requests an early ping after each attempt."""
 
@@ -33,9 +38,9 @@
 
     async def acquire(self, account: str, remaining_s: float) -> float:
         """Return 0 if a token was acquired, else the least time until one (s)."""
-        max_wait_s = MAX_WAIT_FRACTION * remaining_s
+        limit_s = max_wait_s(remaining_s)
         started_at = self._loop.time()
-        result = self._holder.try_acquire(started_at, account, max_wait_s=max_wait_s)
+        result = self._holder.try_acquire(started_at, account, max_wait_s=limit_s)
         while result.kind is limits.AcquireStatus.WAIT:
             self._ping_soon()
             await self._wait_for_grant(
@@ -43,7 +48,7 @@
             )
             now = self._loop.time()
             result = self._holder.try_acquire(
-                now, account, first_attempt_at=started_at, max_wait_s=max_wait_s
+                now, account, first_attempt_at=started_at, max_wait_s=limit_s
             )
         self._ping_soon()
         if result.kind is limits.AcquireStatus.ACQUIRED:
