Bound the informational responses of one exchange

Cause: each 1xx head is complete, so the parser's limit of a head's size never applies, and the loop over its events only ignored them. A read of 256 KiB holds some ten thousand of them, and the target sends the next at once.

--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -16,6 +16,8 @@
 # rarely sent on a connection that the target is about to close.
 IDLE_TIMEOUT_S = 4.0
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+# Most informational (1xx) responses before the response of one exchange.
+MAX_INFORMATIONAL_RESPONSES = 16
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +42,7 @@
         "_body_task",
         "_drained",
         "_http",
+        "_informational_responses",
         "_is_head_request",
         "_is_parser_prepared",
         "_loop",
@@ -65,6 +68,7 @@
         self._body_task: asyncio.Task[None] | None = None
         self._drained: asyncio.Future[None] | None = None
         self._is_head_request = False
+        self._informational_responses = 0
         self.idle_since = 0.0
 
     @property
@@ -110,6 +114,7 @@
         self._waiter = waiter = self._loop.create_future()
         self._response, self._body, self._body_bytes = None, [], 0
         self._stream = None
+        self._informational_responses = 0
         self._is_head_request = method == "HEAD"
         try:
             self._send_head(method, path, headers, body, body_stream is not None)
@@ -206,12 +211,19 @@
                 self._on_body_data(bytes(event.data))
             elif type(event) is h11.Response:
                 self._on_response_head(event)
+            elif type(event) is h11.InformationalResponse:
+                self._on_informational_response()
             elif type(event) is h11.EndOfMessage:
                 self._on_response_end()
                 return
             elif type(event) is h11.ConnectionClosed:
                 return
 
+    def _on_informational_response(self) -> None:
+        self._informational_responses += 1
+        if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+            raise h11.RemoteProtocolError("too many informational responses")
+
     def _on_response_head(self, event: h11.Response) -> None:
         self._response = TargetResponse(event.status_code, list(event.headers))
         if self._is_head_request or event.status_code in (204, 304):
