Bound the work that a target's bytes cause in one turn of the loop

Callers saw: while a target answers with endless chunks of one byte, calls of others at the same daemon wait or get 504, and the answer itself ends after its deadline. Found by the tests of endless answers.

Cause: the same class of fault as the endless informational responses: one read of 256 KiB holds some 43,000 such chunks, and all of its events were handled in one callback, each as a chunk of its own further on.

Change: the connections of a pool handle at most 64 events a turn of the loop together; a connection with more stops reading until they are handled. The chunks of a turn are passed on as one.

--- a/tests/test_endlessanswers.py
+++ b/tests/test_endlessanswers.py
@@ -105,18 +105,23 @@
     return head, time.monotonic() - started_at
 
 
-def run_beside_other_calls(first, repeated):
-    """Return the endless answer's start, its time and the longest other call (s)."""
+def run_beside_other_calls(first, repeated, endless_calls=1, entry="t1"):
+    """Return the endless answers' start and time and the longest other call (s)."""
 
     async def scenario():
-        state = fleetparts.fleet_state(deadline_ms=int(DEADLINE_S * 1000), attempts=0)
+        state = fleetparts.fleet_state(
+            ("shop", "parts"), deadline_ms=int(DEADLINE_S * 1000), attempts=0
+        )
         target = EndlessTarget(first, repeated)
         async with fleetparts.Fleet(state) as fleet:
             await fleet.daemon("t1", "shop", target.address)
-            address = fleet.address("t1")
+            await fleet.daemon("t2", "parts", target.address)
+            address = fleet.address(entry)
             assert (await fleetparts.fetch(address)).status == 200
             before = resident_bytes()
-            reading = asyncio.ensure_future(read_to_end(address))
+            reading = asyncio.gather(
+                *[read_to_end(address) for _ in range(endless_calls)]
+            )
             longest_s, growth = 0.0, 0
             while not reading.done():
                 started_at = time.monotonic()
@@ -124,10 +129,10 @@
                 longest_s = max(longest_s, time.monotonic() - started_at)
                 growth = max(growth, resident_bytes() - before)
                 await asyncio.sleep(0.01)
-            head, took_s = await reading
+            heads, times_s = zip(*await reading, strict=True)
         target.close()
         assert growth < MAX_GROWTH_BYTES
-        return head, took_s, longest_s
+        return heads, max(times_s), longest_s
 
     return helpers.run(scenario())
 
@@ -135,7 +140,7 @@
 @pytest.mark.parametrize("kind", HEADS)
 def test_endless_head_ends_its_call_by_the_deadline_and_delays_no_other(kind):
     """Guards against a target that stops its daemon with bytes that are no answer."""
-    head, took_s, longest_s = run_beside_other_calls(*HEADS[kind])
+    [head], took_s, longest_s = run_beside_other_calls(*HEADS[kind])
     assert head.split()[1] in (b"502", b"504")
     assert took_s < DEADLINE_S + DEADLINE_GRACE_S
     assert longest_s < MAX_OTHER_CALL_S
@@ -147,3 +152,13 @@
     _, took_s, longest_s = run_beside_other_calls(*BODIES[kind])
     assert took_s < DEADLINE_S + DEADLINE_GRACE_S
     assert longest_s < MAX_OTHER_CALL_S
+
+
+@pytest.mark.parametrize("kind", [*HEADS, *BODIES])
+@pytest.mark.parametrize("entry", ["t1", "t2"])
+def test_several_endless_answers_end_by_the_deadline_and_delay_no_other(kind, entry):
+    """Guards against work that grows with the number of such answers, or over links."""
+    answer = {**HEADS, **BODIES}[kind]
+    _, took_s, longest_s = run_beside_other_calls(*answer, 8, entry)
+    assert took_s < DEADLINE_S + DEADLINE_GRACE_S
+    assert longest_s < MAX_OTHER_CALL_S
--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -18,6 +18,9 @@
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
 # Most informational (1xx) responses before the response of one exchange.
 MAX_INFORMATIONAL_RESPONSES = 16
+# Parser events handled in one turn of the event loop for all connections of a pool
+# together. One read may hold tens of thousands of tiny chunks.
+MAX_EVENTS_PER_TURN = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +44,7 @@
         "_body_bytes",
         "_body_task",
         "_drained",
+        "_has_unprocessed_events",
         "_http",
         "_informational_responses",
         "_is_head_request",
@@ -68,6 +72,7 @@
         self._body_task: asyncio.Task[None] | None = None
         self._drained: asyncio.Future[None] | None = None
         self._is_head_request = False
+        self._has_unprocessed_events = False
         self._informational_responses = 0
         self.idle_since = 0.0
 
@@ -175,11 +180,22 @@
             self.abort()
             return
         self._http.receive_data(data)
+        if not self._has_unprocessed_events:
+            self.process_events()
+
+    def process_events(self) -> None:
+        """Handle the next events; the pool calls this again if some remain."""
+        self._has_unprocessed_events = False
         try:
-            self._process_events()
+            self._handle_events()
         except h11.RemoteProtocolError as error:
             self._fail(f"the target broke HTTP: {error}")
             self.abort()
+        if self._has_unprocessed_events and self._transport is not None:
+            self._transport.pause_reading()
+            self._pool.process_later(self)
+        else:
+            self._resume_reading()
 
     async def _send_body(self, stream: AsyncIterator[bytes]) -> None:
         try:
@@ -202,22 +218,29 @@
         if data and self._transport is not None:
             self._transport.write(data)
 
-    def _process_events(self) -> None:
-        while self._transport is not None and self._http is not _IDLE_PARSER:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+    def _handle_events(self) -> None:
+        chunks: list[bytes] = []
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self._transport is None or self._http is _IDLE_PARSER:
                 return
+            event = self._http.next_event()
             if type(event) is h11.Data:
-                self._on_body_data(bytes(event.data))
-            elif type(event) is h11.Response:
+                chunks.append(bytes(event.data))
+                continue
+            if chunks:
+                self._on_body_data(b"".join(chunks))
+                chunks = []
+            if type(event) is h11.Response:
                 self._on_response_head(event)
             elif type(event) is h11.InformationalResponse:
                 self._on_informational_response()
-            elif type(event) is h11.EndOfMessage:
-                self._on_response_end()
-                return
-            elif type(event) is h11.ConnectionClosed:
+            else:
+                if type(event) is h11.EndOfMessage:
+                    self._on_response_end()
                 return
+        if chunks:
+            self._on_body_data(b"".join(chunks))
+        self._has_unprocessed_events = self.is_open
 
     def _on_informational_response(self) -> None:
         self._informational_responses += 1
@@ -289,9 +312,18 @@
         stream = self._stream
         if (
             stream is not None
-            and self._transport is not None
             and stream.buffered_bytes <= bodies.STREAM_WINDOW_BYTES // 2
+        ):
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Resume reading once all received events are handled and the stream drains."""
+        stream = self._stream
+        if (
+            self._transport is not None
             and not self._transport.is_reading()
+            and not self._has_unprocessed_events
+            and (stream is None or stream.buffered_bytes <= bodies.STREAM_WINDOW_BYTES)
         ):
             self._transport.resume_reading()
 
@@ -325,8 +357,7 @@
         self._return_to_pool()
 
     def _return_to_pool(self) -> None:
-        if self._transport is not None and not self._transport.is_reading():
-            self._transport.resume_reading()
+        self._resume_reading()
         # Deferred, so that it does not delay the current response.
         self._is_parser_prepared = False
         self._http = _IDLE_PARSER
@@ -369,7 +400,15 @@
 class Pool:
     """Up to limit connections to one target; the most recent one is reused first."""
 
-    __slots__ = ("_address", "_all", "_connecting", "_idle", "_waiters", "limit")
+    __slots__ = (
+        "_address",
+        "_all",
+        "_connecting",
+        "_idle",
+        "_unprocessed",
+        "_waiters",
+        "limit",
+    )
 
     def __init__(self, address: str, limit: int):
         self._address = link.split_address(address)
@@ -378,6 +417,8 @@
         self._idle: collections.deque[Connection] = collections.deque()
         self._waiters: collections.deque[asyncio.Future[None]] = collections.deque()
         self._connecting = 0
+        # Connections with received events that wait for their turn.
+        self._unprocessed: collections.deque[Connection] = collections.deque()
 
     def __len__(self) -> int:
         return len(self._all) + self._connecting
@@ -421,6 +462,12 @@
                 self._idle.remove(connection)
             self._wake_waiter()
 
+    def process_later(self, connection: Connection) -> None:
+        """Let a connection handle more events, one connection a turn of the loop."""
+        if not self._unprocessed:
+            asyncio.get_running_loop().call_soon(self._process_next)
+        self._unprocessed.append(connection)
+
     def close_idle(self, now: float, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
         """Close the connections that have been idle for the timeout or longer."""
         while self._idle and now - self._idle[0].idle_since >= idle_timeout_s:
@@ -441,6 +488,14 @@
                 return connection
         return None
 
+    def _process_next(self) -> None:
+        connection = self._unprocessed.popleft()
+        # Scheduled first, since the connection may add itself again.
+        if self._unprocessed:
+            asyncio.get_running_loop().call_soon(self._process_next)
+        if connection.is_open:
+            connection.process_events()
+
     async def _connect(self) -> result.Result[Connection, exceptions.TargetError]:
         host, port = self._address
         self._connecting += 1
