Bound the work that a caller's bytes cause in one turn of the loop

Callers saw: while one caller sends a body of tiny chunks, requests of others at the same daemon wait for 2.2 s, with four such callers 8.6 s. A caller that pipelines 200 or more requests that are refused at the head loses its connection after some 190 answers.

Cause: the server handled all events of one read in one callback, and after a refusal at the head handled the next pipelined request by a nested call, up to the interpreter's recursion limit.

Change: the server's connections handle events in turns as those to targets do; both use eventturns. The next pipelined request is handled by the loop that is running.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,5 +1,7 @@
 import asyncio
 import itertools
+import sys
+import time
 
 import fleetparts
 import helpers
@@ -18,6 +20,18 @@
 )
 
 
+# Sends a head and then repeats one chunk until the server closes the connection.
+ENDLESS_SENDER = """
+import socket, sys
+host, port = sys.argv[1].split(":")
+head, chunk = (bytes.fromhex(text) for text in sys.argv[2:])
+connection = socket.create_connection((host, int(port)))
+connection.sendall(head)
+while True:
+    connection.sendall(chunk * 40_000)
+"""
+
+
 async def serve(handler, limits=LIMITS):
     """Start a server for a handler; return the server and its address."""
     server = httpserver.Server(handler, limits)
@@ -350,3 +364,46 @@
     assert sorted(written.lower().split(b"\r\n")) == sorted(
         helpers.run(feed_in_chunks([]))[2].lower().split(b"\r\n")
     )
+
+
+@pytest.mark.parametrize("chunk", [b"1\r\na\r\n", b"1;a=b\r\na\r\n"])
+def test_endless_chunks_of_one_caller_delay_no_other(chunk):
+    """Guards against one read whose tiny chunks occupy the event loop."""
+
+    async def scenario():
+        limits = httpserver.Limits(max_body=1 << 30)
+        server, address = await serve(fleetparts.Recorder(), limits)
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        sending = asyncio.create_subprocess_exec(
+            sys.executable, "-c", ENDLESS_SENDER, address, head.hex(), chunk.hex()
+        )
+        process = await sending
+        longest_s = 0.0
+        for _ in range(40):
+            started_at = time.monotonic()
+            assert (await fleetparts.fetch(address)).status == 200
+            longest_s = max(longest_s, time.monotonic() - started_at)
+            await asyncio.sleep(0.02)
+        process.kill()
+        await process.wait()
+        server.stop()
+        assert longest_s < 0.25
+
+    helpers.run(scenario())
+
+
+def test_many_pipelined_refused_requests_are_all_answered():
+    """Guards against a recursion for each request of one read."""
+
+    class Refusing(fleetparts.Recorder):
+        def check_head(self, request):
+            return httpserver.Response(404, [(b"content-length", b"0")])
+
+    async def scenario():
+        server, address = await serve(Refusing())
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        answers = await send_all(address, request * 2000)
+        assert answers.count(b"HTTP/1.1 404") == 2000
+        server.stop()
+
+    helpers.run(scenario())
--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -9,7 +9,7 @@
 import h11
 from returns import result
 
-from toucanfold import bodies, calls, exceptions, httpwriter, link
+from toucanfold import bodies, calls, eventturns, exceptions, httpwriter, link
 
 CONNECT_TIMEOUT_S = 2.0
 # Shorter than the keep-alive timeout of common servers (5 s), so that a request is
@@ -18,9 +18,6 @@
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
 # Most informational (1xx) responses before the response of one exchange.
 MAX_INFORMATIONAL_RESPONSES = 16
-# Parser events handled in one turn of the event loop for all connections of a pool
-# together. One read may hold tens of thousands of tiny chunks.
-MAX_EVENTS_PER_TURN = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -184,8 +181,10 @@
             self.process_events()
 
     def process_events(self) -> None:
-        """Handle the next events; the pool calls this again if some remain."""
+        """Handle the next events, and those that remain in later turns."""
         self._has_unprocessed_events = False
+        if not self.is_open:
+            return
         try:
             self._handle_events()
         except h11.RemoteProtocolError as error:
@@ -193,7 +192,7 @@
             self.abort()
         if self._has_unprocessed_events and self._transport is not None:
             self._transport.pause_reading()
-            self._pool.process_later(self)
+            self._pool.turns.add(self.process_events)
         else:
             self._resume_reading()
 
@@ -220,7 +219,7 @@
 
     def _handle_events(self) -> None:
         chunks: list[bytes] = []
-        for _ in range(MAX_EVENTS_PER_TURN):
+        for _ in range(eventturns.MAX_EVENTS_PER_TURN):
             if self._transport is None or self._http is _IDLE_PARSER:
                 return
             event = self._http.next_event()
@@ -405,20 +404,19 @@
         "_all",
         "_connecting",
         "_idle",
-        "_unprocessed",
         "_waiters",
         "limit",
+        "turns",
     )
 
     def __init__(self, address: str, limit: int):
         self._address = link.split_address(address)
         self.limit = limit
+        self.turns = eventturns.EventTurns()
         self._all: set[Connection] = set()
         self._idle: collections.deque[Connection] = collections.deque()
         self._waiters: collections.deque[asyncio.Future[None]] = collections.deque()
         self._connecting = 0
-        # Connections with received events that wait for their turn.
-        self._unprocessed: collections.deque[Connection] = collections.deque()
 
     def __len__(self) -> int:
         return len(self._all) + self._connecting
@@ -462,12 +460,6 @@
                 self._idle.remove(connection)
             self._wake_waiter()
 
-    def process_later(self, connection: Connection) -> None:
-        """Let a connection handle more events, one connection a turn of the loop."""
-        if not self._unprocessed:
-            asyncio.get_running_loop().call_soon(self._process_next)
-        self._unprocessed.append(connection)
-
     def close_idle(self, now: float, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
         """Close the connections that have been idle for the timeout or longer."""
         while self._idle and now - self._idle[0].idle_since >= idle_timeout_s:
@@ -488,14 +480,6 @@
                 return connection
         return None
 
-    def _process_next(self) -> None:
-        connection = self._unprocessed.popleft()
-        # Scheduled first, since the connection may add itself again.
-        if self._unprocessed:
-            asyncio.get_running_loop().call_soon(self._process_next)
-        if connection.is_open:
-            connection.process_events()
-
     async def _connect(self) -> result.Result[Connection, exceptions.TargetError]:
         host, port = self._address
         self._connecting += 1
--- a/toucanfold/httpserver.py
+++ b/toucanfold/httpserver.py
@@ -12,7 +12,15 @@
 import h11
 from absl import logging
 
-from toucanfold import bodies, calls, eagertask, exceptions, httpwriter, link
+from toucanfold import (
+    bodies,
+    calls,
+    eagertask,
+    eventturns,
+    exceptions,
+    httpwriter,
+    link,
+)
 
 # While a request is handled, reading stops above this number of buffered bytes.
 MAX_PIPELINED_BYTES = 64 << 10
@@ -97,7 +105,9 @@
         "_deadline",
         "_drained",
         "_handler",
+        "_has_unprocessed_events",
         "_http",
+        "_is_handling_events",
         "_lingering",
         "_loop",
         "_request",
@@ -115,6 +125,8 @@
         self._handler = server.handler
         self._loop = server.loop
         self._http = server.new_parser()
+        self._has_unprocessed_events = False
+        self._is_handling_events = False
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._request: Request | None = None
@@ -175,7 +187,8 @@
         if self._lingering:
             return
         self._http.receive_data(data)
-        self._process_events()
+        if not self._has_unprocessed_events:
+            self._process_events()
         if self._transport is None or self._task is not None:
             self._limit_pipeline()
         elif self._request is None and self._http.trailing_data[0]:
@@ -193,31 +206,82 @@
             self._set_deadline(limit)
 
     def _limit_pipeline(self) -> None:
-        if self._transport is None or self._stream is not None:
-            return
-        if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
+        if self._transport is not None and self._has_full_pipeline():
             self._transport.pause_reading()
 
+    def _has_full_pipeline(self) -> bool:
+        """Whether too many bytes wait behind the request that is handled."""
+        if self._task is None or self._stream is not None:
+            return False
+        return len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES
+
+    def _is_stream_above(self, size: int) -> bool:
+        stream = self._stream
+        return (
+            stream is not None and not stream.is_ended and stream.buffered_bytes > size
+        )
+
     def _process_events(self) -> None:
-        while self._transport is not None and not self._lingering:
-            if self._unparsed_body_bytes >= 0:
-                return
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                self._refuse(error.error_status_hint, str(error))
-                return
+        """Handle the next events, and those that remain in later turns."""
+        self._has_unprocessed_events = False
+        if self._transport is None:
+            return
+        self._is_handling_events = True
+        try:
+            self._has_unprocessed_events = self._handle_events()
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint, str(error))
+        finally:
+            self._is_handling_events = False
+        if self._transport is None:
+            return
+        if self._has_unprocessed_events:
+            self._transport.pause_reading()
+            self._server.turns.add(self._process_events)
+        elif not self._has_full_pipeline() and not self._is_stream_above(
+            bodies.STREAM_WINDOW_BYTES // 2
+        ):
+            self._resume_reading()
+
+    def _handle_events(self) -> bool:
+        """Handle a turn's events; return whether more may remain."""
+        chunks: list[bytes] = []
+        for _ in range(eventturns.MAX_EVENTS_PER_TURN):
+            if not self._can_handle_events():
+                return False
+            event = self._http.next_event()
+            if type(event) is h11.Data:
+                chunks.append(bytes(event.data))
+                continue
+            if chunks:
+                self._on_body_data(b"".join(chunks))
+                chunks = []
+                if not self._can_handle_events():
+                    return False
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if type(event) is h11.Request:
-                self._on_request_head(event)
-            elif type(event) is h11.Data:
-                self._on_body_data(event.data)
-            elif type(event) is h11.EndOfMessage:
-                self._on_body_end()
-            else:
-                self._transport.close()
-                return
+                return False
+            self._handle_event(event)
+        if chunks:
+            self._on_body_data(b"".join(chunks))
+        return self._can_handle_events()
+
+    def _handle_event(self, event: Any) -> None:
+        if type(event) is h11.Request:
+            self._on_request_head(event)
+        elif type(event) is h11.EndOfMessage:
+            self._on_body_end()
+        elif self._transport is not None:
+            self._transport.close()
+
+    def _can_handle_events(self) -> bool:
+        """Whether the connection is open and no buffered request is running."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return not self._lingering and self._unparsed_body_bytes < 0
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_reading():
+            self._transport.resume_reading()
 
     def _on_request_head(self, event: h11.Request) -> None:
         now = self._loop.time()
@@ -273,11 +337,11 @@
             return
         self._extend_body_deadline()
         if self._stream is not None:
-            self._stream.put(bytes(data))
-            if self._stream.buffered_bytes > bodies.STREAM_WINDOW_BYTES:
+            self._stream.put(data)
+            if self._is_stream_above(bodies.STREAM_WINDOW_BYTES):
                 self._pause_body()
             return
-        self._body.append(bytes(data))
+        self._body.append(data)
         if self._body_bytes > bodies.MAX_BUFFERED_BODY_BYTES and self._task is None:
             self._start_streaming()
 
@@ -317,7 +381,8 @@
                 self._body_bytes / MIN_BODY_BYTES_PER_S
             )
             self._extend_body_deadline()
-            self._transport.resume_reading()
+            if not self._has_unprocessed_events:
+                self._transport.resume_reading()
 
     def _on_body_end(self) -> None:
         self._deadline = math.inf
@@ -481,9 +546,11 @@
     def _wait_for_next(self) -> None:
         assert self._transport is not None
         self._set_deadline(self._loop.time() + self._server.limits.idle_timeout_s)
-        if not self._transport.is_reading():
-            self._transport.resume_reading()
-        if self._http.trailing_data[0]:
+        if self._has_unprocessed_events:
+            return
+        self._resume_reading()
+        # While events are handled, those of the next request follow anyway.
+        if self._http.trailing_data[0] and not self._is_handling_events:
             self._process_events()
 
     def _refuse(self, status: int, message: str) -> None:
@@ -520,8 +587,7 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        if not self._transport.is_reading():
-            self._transport.resume_reading()
+        self._resume_reading()
         self._set_deadline(self._loop.time() + LINGER_TIMEOUT_S)
 
     def _abort(self) -> None:
@@ -608,6 +674,7 @@
         "limits",
         "loop",
         "refused",
+        "turns",
     )
 
     def __init__(self, handler: Handler, limits: Limits):
@@ -615,6 +682,7 @@
         self.limits = limits
         self.draining = False
         self.refused = 0
+        self.turns = eventturns.EventTurns()
         self.loop = asyncio.get_running_loop()
         self._connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
