--- a/tests/fleetparts.py
+++ b/tests/fleetparts.py
@@ -122,13 +122,15 @@
         self.stack.callback(server.close)
         return address
 
-    async def daemon(self, name, service, target_address, contexts=None, **options):
+    async def daemon(
+        self, name, service, target_address, contexts=None, rate=None, **options
+    ):
         """Start a daemon and add its target to the fleet state."""
         settings = make_settings(
             self.folder.name, name, service, target_address, **options
         )
         identity = daemon.identity_of(settings, SECRET)
-        new_daemon = daemon.Daemon(settings, identity, self.source, contexts)
+        new_daemon = daemon.Daemon(settings, identity, self.source, contexts, rate=rate)
         await new_daemon.start()
         self.stack.callback(new_daemon.stop)
         self.daemons[name] = new_daemon
--- a/tests/test_remotetokens.py
+++ b/tests/test_remotetokens.py
@@ -157,3 +157,24 @@
         assert not fleet.limiters[entry]._pending
 
     scenario(check)
+
+
+def test_requests_at_all_entries_take_their_tokens_at_one_holder():
+    """Guards against daemons whose entry or links are not wired to the holders."""
+
+    async def body():
+        state = fleetparts.fleet_state()
+        state.accounts["acme"] = model.Account("acme", 1.0, 3.0)
+        async with fleetparts.Fleet(state) as fleet:
+            target = await fleet.target(fleetparts.Recorder())
+            local = {name: Local(4) for name in "abcde"}
+            for name, limiter in local.items():
+                await fleet.daemon(name, "shop", target, rate=limiter)
+            replies = [
+                await fleetparts.fetch(fleet.address(name)) for name in "abcdeabcde"
+            ]
+        statuses = [reply.status for reply in replies]
+        assert statuses == [200] * 4 + [429] * 6
+        assert sorted(limiter.tokens for limiter in local.values()) == [0, 4, 4, 4, 4]
+
+    helpers.run(body())
