--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -177,7 +177,11 @@
             self.abort()
             return
         self._http.receive_data(data)
-        if not self._has_unprocessed_events:
+        if self._has_unprocessed_events:
+            return
+        if self._pool.turns.is_busy:
+            self._process_later()
+        else:
             self.process_events()
 
     def process_events(self) -> None:
@@ -186,16 +190,21 @@
         if not self.is_open:
             return
         try:
-            self._handle_events()
+            self._has_unprocessed_events = eventturns.handle_turn(self)
         except h11.RemoteProtocolError as error:
             self._fail(f"the target broke HTTP: {error}")
             self.abort()
-        if self._has_unprocessed_events and self._transport is not None:
-            self._transport.pause_reading()
-            self._pool.turns.add(self.process_events)
+        if self._has_unprocessed_events:
+            self._process_later()
         else:
             self._resume_reading()
 
+    def _process_later(self) -> None:
+        self._has_unprocessed_events = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+        self._pool.turns.add(self.process_events)
+
     async def _send_body(self, stream: AsyncIterator[bytes]) -> None:
         try:
             async for chunk in stream:
@@ -217,29 +226,24 @@
         if data and self._transport is not None:
             self._transport.write(data)
 
-    def _handle_events(self) -> None:
-        chunks: list[bytes] = []
-        for _ in range(eventturns.MAX_EVENTS_PER_TURN):
-            if self._transport is None or self._http is _IDLE_PARSER:
-                return
-            event = self._http.next_event()
-            if type(event) is h11.Data:
-                chunks.append(bytes(event.data))
-                continue
-            if chunks:
-                self._on_body_data(b"".join(chunks))
-                chunks = []
-            if type(event) is h11.Response:
-                self._on_response_head(event)
-            elif type(event) is h11.InformationalResponse:
-                self._on_informational_response()
-            else:
-                if type(event) is h11.EndOfMessage:
-                    self._on_response_end()
-                return
-        if chunks:
-            self._on_body_data(b"".join(chunks))
-        self._has_unprocessed_events = self.is_open
+    def can_handle_events(self) -> bool:
+        """Whether the connection is open and an exchange is under way."""
+        return self.is_open and self._http is not _IDLE_PARSER
+
+    def next_event(self) -> Any:
+        """Return the parser's next event."""
+        return self._http.next_event()
+
+    def on_event(self, event: Any) -> None:
+        """Handle an event other than a chunk of a body."""
+        if type(event) is h11.Response:
+            self._on_response_head(event)
+        elif type(event) is h11.InformationalResponse:
+            self._on_informational_response()
+        elif type(event) is h11.EndOfMessage:
+            self._on_response_end()
+        else:
+            self.abort()
 
     def _on_informational_response(self) -> None:
         self._informational_responses += 1
@@ -278,7 +282,8 @@
         self._return_to_pool()
         self._resolve(result.Success(answer))
 
-    def _on_body_data(self, data: bytes) -> None:
+    def on_body_data(self, data: bytes) -> None:
+        """Buffer or stream consecutive chunks of the response's body."""
         if self._stream is not None:
             self._stream.put(data)
             if (
--- a/toucanfold/httpserver.py
+++ b/toucanfold/httpserver.py
@@ -187,8 +187,12 @@
         if self._lingering:
             return
         self._http.receive_data(data)
-        if not self._has_unprocessed_events:
-            self._process_events()
+        if self._has_unprocessed_events:
+            return
+        if self._server.turns.is_busy:
+            self._process_later()
+            return
+        self._process_events()
         if self._transport is None or self._task is not None:
             self._limit_pipeline()
         elif self._request is None and self._http.trailing_data[0]:
@@ -228,7 +232,7 @@
             return
         self._is_handling_events = True
         try:
-            self._has_unprocessed_events = self._handle_events()
+            self._has_unprocessed_events = eventturns.handle_turn(self)
         except h11.RemoteProtocolError as error:
             self._refuse(error.error_status_hint, str(error))
         finally:
@@ -236,36 +240,30 @@
         if self._transport is None:
             return
         if self._has_unprocessed_events:
-            self._transport.pause_reading()
-            self._server.turns.add(self._process_events)
+            self._process_later()
         elif not self._has_full_pipeline() and not self._is_stream_above(
             bodies.STREAM_WINDOW_BYTES // 2
         ):
             self._resume_reading()
 
-    def _handle_events(self) -> bool:
-        """Handle a turn's events; return whether more may remain."""
-        chunks: list[bytes] = []
-        for _ in range(eventturns.MAX_EVENTS_PER_TURN):
-            if not self._can_handle_events():
-                return False
-            event = self._http.next_event()
-            if type(event) is h11.Data:
-                chunks.append(bytes(event.data))
-                continue
-            if chunks:
-                self._on_body_data(b"".join(chunks))
-                chunks = []
-                if not self._can_handle_events():
-                    return False
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return False
-            self._handle_event(event)
-        if chunks:
-            self._on_body_data(b"".join(chunks))
-        return self._can_handle_events()
-
-    def _handle_event(self, event: Any) -> None:
+    def _process_later(self) -> None:
+        self._has_unprocessed_events = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+        self._server.turns.add(self._process_events)
+
+    def can_handle_events(self) -> bool:
+        """Whether the connection is open and no buffered request is running."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return not self._lingering and self._unparsed_body_bytes < 0
+
+    def next_event(self) -> Any:
+        """Return the parser's next event."""
+        return self._http.next_event()
+
+    def on_event(self, event: Any) -> None:
+        """Handle an event other than a chunk of a body."""
         if type(event) is h11.Request:
             self._on_request_head(event)
         elif type(event) is h11.EndOfMessage:
@@ -273,12 +271,6 @@
         elif self._transport is not None:
             self._transport.close()
 
-    def _can_handle_events(self) -> bool:
-        """Whether the connection is open and no buffered request is running."""
-        if self._transport is None or self._transport.is_closing():
-            return False
-        return not self._lingering and self._unparsed_body_bytes < 0
-
     def _resume_reading(self) -> None:
         if self._transport is not None and not self._transport.is_reading():
             self._transport.resume_reading()
@@ -327,7 +319,8 @@
         if length > bodies.MAX_BUFFERED_BODY_BYTES:
             self._start_streaming()
 
-    def _on_body_data(self, data: bytes) -> None:
+    def on_body_data(self, data: bytes) -> None:
+        """Count, limit and buffer or stream consecutive chunks of a request's body."""
         if self._request is None:
             return
         self._body_bytes += len(data)
