Tell the tokens of accounts from those of nested calls by name

Cause: Daemon.tokens are the tokens of nested calls, and Peers.tokens handled those of client accounts.

Change: the attribute of Peers is account_tokens. Nothing else.

--- a/tests/test_remotetokens.py
+++ b/tests/test_remotetokens.py
@@ -50,7 +50,7 @@
         self.limiters[name] = remotetokens.DelegatingRateLimiter(
             self.locals[name], self.selectors[name], links, metrics.Metrics("", "t")
         )
-        links.tokens = self.limiters[name]
+        links.account_tokens = self.limiters[name]
         self.links[name] = links
         self.state.targets[name] = model.Target(name, 1, "s", "r", "d", address)
 
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -392,7 +392,7 @@
         delegating = remotetokens.DelegatingRateLimiter(
             local, self._holder_selector, self.peers, self.metrics
         )
-        self.peers.tokens = delegating
+        self.peers.account_tokens = delegating
         return delegating
 
     def _make_budgets(self) -> retries.RetryBudgets:
--- a/toucanfold/peers.py
+++ b/toucanfold/peers.py
@@ -59,7 +59,7 @@
         server_tls: ssl.SSLContext | None = None,
     ):
         self.owner: RecordMessageHandler | None = None
-        self.tokens: TokenMessageHandler | None = None
+        self.account_tokens: TokenMessageHandler | None = None
         # Called with (now, name, is_up) when a link opens, closes or cannot be opened,
         # and when its peer sends Goaway.
         self.on_link: Callable[[float, str, bool], None] | None = None
@@ -193,8 +193,8 @@
             return
         if isinstance(message, messages.TokenRequest | messages.TokenReply):
             session.last_used_at = self._loop.time()
-            if self.tokens is not None:
-                self.tokens.on_message(opened, message)
+            if self.account_tokens is not None:
+                self.account_tokens.on_message(opened, message)
             return
         session.on_message(message)
         if type(message) is messages.Goaway and opened.peer is not None:
@@ -208,8 +208,8 @@
         name = opened.peer.name if opened.peer else ""
         logging.info("link to %s closed: %s", name, reason)
         session.on_close(reason)
-        if self.tokens is not None:
-            self.tokens.on_close(opened)
+        if self.account_tokens is not None:
+            self.account_tokens.on_close(opened)
         peer = self._peers.get(name)
         if peer is not None and peer.session is session:
             peer.session = None
