Play endless targets in a process of their own

Traced: the target ran in threads of the test's process, whose interpreter lock nine of them shared with the daemons; each step of the other call's target waited for it, the longer the fewer other processes slowed the senders.

Change: the target runs in a forked process. Checks and bounds are the same.

--- a/tests/test_endlessanswers.py
+++ b/tests/test_endlessanswers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import multiprocessing
 import pathlib
 import resource
 import socket
@@ -46,7 +47,8 @@
 class EndlessTarget:
     """Answers requests for /endless without end, and others at once.
 
-    It runs in threads, as a target does not share the daemon's event loop.
+    It runs in its own process, since threads would contend with the daemon for the
+    interpreter lock.
     """
 
     def __init__(self, first, repeated):
@@ -55,11 +57,15 @@
         host, port = link.split_address(helpers.free_address())
         self._listener = socket.create_server((host, port))
         self.address = f"{host}:{port}"
-        self.sent_bytes = 0
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._process = multiprocessing.get_context("fork").Process(
+            target=self._accept, daemon=True
+        )
+        self._process.start()
+        self._listener.close()
 
     def close(self):
-        self._listener.close()
+        self._process.kill()
+        self._process.join()
 
     def _accept(self):
         with contextlib.suppress(OSError):
@@ -83,7 +89,6 @@
                 connection.sendall(self._first)
                 while True:
                     connection.sendall(self._block)
-                    self.sent_bytes += len(self._block)
 
 
 def resident_bytes():
@@ -108,11 +113,12 @@
 def run_beside_other_calls(first, repeated, endless_calls=1, entry="t1"):
     """Return the endless answers' start and time and the longest other call (s)."""
 
+    target = EndlessTarget(first, repeated)
+
     async def scenario():
         state = fleetparts.fleet_state(
             ("shop", "parts"), deadline_ms=int(DEADLINE_S * 1000), attempts=0
         )
-        target = EndlessTarget(first, repeated)
         async with fleetparts.Fleet(state) as fleet:
             await fleet.daemon("t1", "shop", target.address)
             await fleet.daemon("t2", "parts", target.address)
@@ -130,11 +136,13 @@
                 growth = max(growth, resident_bytes() - before)
                 await asyncio.sleep(0.01)
             heads, times_s = zip(*await reading, strict=True)
-        target.close()
         assert growth < MAX_GROWTH_BYTES
         return heads, max(times_s), longest_s
 
-    return helpers.run(scenario())
+    try:
+        return helpers.run(scenario())
+    finally:
+        target.close()
 
 
 @pytest.mark.parametrize("kind", HEADS)
