Start the header timeout also for heads that were queued

Cause: found by reading the change. Since bytes that arrive while other connections wait for their turn are handled later, and the header timeout and the limit of pipelined bytes were applied only to bytes handled at once. A slow head on a kept connection then had the idle timeout.

Change: both follow the handling of received events in each turn.

Result: the new test fails without the change (no 408 within 3 s at a header timeout of 0.3 s) and passes with it; tests of server, call path and endless answers pass.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -407,3 +407,22 @@
         server.stop()
 
     helpers.run(scenario())
+
+
+def test_slow_head_is_refused_also_while_other_connections_wait_for_their_turn():
+    """Guards against a head that keeps the idle timeout because it was queued."""
+
+    async def scenario():
+        limits = httpserver.Limits(header_timeout_s=0.3, idle_timeout_s=30.0)
+        server, address = await serve(fleetparts.Recorder(), limits)
+
+        def keep_busy():
+            server.turns.add(keep_busy)
+
+        keep_busy()
+        first = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        answers = await send_all(address, first, b"GET / HTTP/1.1\r\n", pause_s=0.1)
+        assert b"HTTP/1.1 408 " in answers
+        server.stop()
+
+    helpers.run(scenario())
--- a/toucanfold/httpserver.py
+++ b/toucanfold/httpserver.py
@@ -191,7 +191,11 @@
             return
         if self._server.turns.is_busy:
             self._process_later()
-            return
+        else:
+            self._process_received()
+
+    def _process_received(self) -> None:
+        """Handle received events, then limit what waits behind them."""
         self._process_events()
         if self._transport is None or self._task is not None:
             self._limit_pipeline()
@@ -250,7 +254,7 @@
         self._has_unprocessed_events = True
         if self._transport is not None:
             self._transport.pause_reading()
-        self._server.turns.add(self._process_events)
+        self._server.turns.add(self._process_received)
 
     def can_handle_events(self) -> bool:
         """Whether the connection is open and no buffered request is running."""
