Read and log the rate that a target states

Cause: no log line or metric shows what a target states and how many calls it gets, so the hypotheses of the incident cannot be told apart.

Nothing is decided by it yet.

--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -4,6 +4,8 @@
 import itertools
 from collections.abc import Callable
 
+from absl import logging
+
 from toucanfold import (
     admission,
     bodies,
@@ -18,6 +20,7 @@
     model,
     pressure,
     registry,
+    statedrate,
     targetstatus,
 )
 
@@ -26,6 +29,7 @@
 # Weight of the newest sample in the moving averages of service and self time.
 SERVICE_TIME_GAIN = 0.1
 RETRY_AFTER_MS = 200
+STATED_RATE_LOG_INTERVAL_S = 1.0
 RANK_NAMES = {rank: name for name, rank in model.IMPORTANCE_RANKS.items()}
 
 
@@ -77,6 +81,8 @@
         self._service_time_s = 0.0
         self._self_time_s = 0.0
         self._window_timer: asyncio.TimerHandle | None = None
+        self._stated_rate = statedrate.StatedRate()
+        self._stated_rate_logged_at = float("-inf")
         tokens.on_wait_started = self._on_wait_started
 
     @property
@@ -94,6 +100,11 @@
         """
         return self.in_flight - self.tokens.waiting
 
+    @property
+    def stated_rate(self) -> float | None:
+        """Calls per second that the target accepts, None if it states no rate."""
+        return self._stated_rate.rate
+
     @property
     def queued(self) -> int:
         """Calls that wait for dispatch."""
@@ -265,6 +276,7 @@
                 kind = limiter.FinishKind.TIMEOUT
             return acquired, kind
         running.connection = acquired
+        self._stated_rate.on_sent(self._loop.time())
         exchanged = await acquired.exchange(
             call.method,
             call.path,
@@ -274,7 +286,7 @@
         )
         if not isinstance(exchanged, httpclient.result.Success):
             return self._to_refusal(call, exchanged.failure())
-        return self._to_answer(call, exchanged.unwrap(), acquired)
+        return self._to_answer(call, exchanged.unwrap(), running)
 
     async def _acquire(self, call: calls.Call) -> httpclient.Connection | calls.Answer:
         connection = self.pool.take_idle()
@@ -297,16 +309,19 @@
         self,
         call: calls.Call,
         answer: httpclient.TargetResponse,
-        connection: httpclient.Connection,
+        running: _RunningCall,
     ) -> tuple[calls.Answer, limiter.FinishKind]:
         response_check = self._header_format.check_response(call, answer)
+        if response_check.matches_call:
+            self._on_stated_rate(running.started_at, response_check.stated_rate)
         if response_check.refusal is not None:
             bodies.cancel(answer.body_stream)
             return calls.Answer.refused(response_check.refusal), limiter.FinishKind.SHED
         if not response_check.matches_call:
             bodies.cancel(answer.body_stream)
             # The call's own response may still arrive and must not reach the next call.
-            connection.abort()
+            if running.connection is not None:
+                running.connection.abort()
             mismatch = exceptions.TargetError("the answer is another call's", sent=True)
             return self._to_refusal(call, mismatch)
         caller_headers = self._header_format.fields_for_caller(answer.headers)
@@ -318,6 +333,28 @@
         kind = limiter.FinishKind.SHED if is_shed else limiter.FinishKind.OK
         return passed, kind
 
+    def _on_stated_rate(self, sent_at: float, rate: float | None) -> None:
+        now = self._loop.time()
+        if self._stated_rate.on_response(now, sent_at, rate):
+            if rate is None:
+                logging.info("the target states no rate any more")
+            else:
+                logging.info("the target accepts %.3f calls/s", rate)
+
+    def _log_stated_rate(self, now: float) -> None:
+        rate = self._stated_rate.rate
+        if rate is None:
+            return
+        if now - self._stated_rate_logged_at >= STATED_RATE_LOG_INTERVAL_S:
+            self._stated_rate_logged_at = now
+            logging.info(
+                "the target accepts %.3f calls/s; %d sent in %.1f s, %d queued",
+                rate,
+                self._stated_rate.sent_calls(now),
+                statedrate.COUNT_WINDOW_S,
+                len(self._queue),
+            )
+
     def _to_refusal(
         self, call: calls.Call, error: exceptions.TargetError
     ) -> tuple[calls.Answer, limiter.FinishKind]:
@@ -404,6 +441,7 @@
         now = self._loop.time()
         self.level = self._queue.on_window(now)
         self.pool.close_idle(now)
+        self._log_stated_rate(now)
         self._dispatch_waiting(now)
         self._window_timer = self._loop.call_at(
             now + PRESSURE_WINDOW_S, self._on_window
--- a/toucanfold/headerformat.py
+++ b/toucanfold/headerformat.py
@@ -5,11 +5,13 @@
 """
 
 import dataclasses
+import re
 from typing import Protocol
 
 from toucanfold import calls, headers, httpclient, httpresponses, httpserver
 
 BEARER = b"bearer "
+_RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,11 +38,14 @@
     """What a target's response states about its call.
 
     A refusal states that the target did not run the call. A response with matches_call
-    False belongs to another call and must not be passed on.
+    False belongs to another call and must not be passed on. stated_rate is the number
+    of calls per second that the target accepts from the whole fleet, None if it states
+    none.
     """
 
     matches_call: bool = True
     refusal: calls.Refusal | None = None
+    stated_rate: float | None = None
 
 
 class HeaderFormat(Protocol):
@@ -138,17 +143,18 @@
         self, call: calls.Call, answer: httpclient.TargetResponse
     ) -> ResponseCheck:
         """Return a refusal if the response is 503 with Toucanfold-Not-Run: 1."""
+        checked = ResponseCheck(
+            stated_rate=parse_rate(headers.find(answer.headers, b"toucanfold-max-rate"))
+        )
         is_refused = headers.find(answer.headers, b"toucanfold-not-run") == b"1"
-        if answer.status != 503 or not is_refused:
-            return ResponseCheck()
-        text = headers.find(answer.headers, b"retry-after") or b""
-        return ResponseCheck(
-            refusal=calls.Refusal(
+        if answer.status == 503 and is_refused:
+            text = headers.find(answer.headers, b"retry-after") or b""
+            checked.refusal = calls.Refusal(
                 calls.RefusalKind.OVERLOADED,
                 message="the target refused the call",
                 retry_after_ms=int(text) * 1000 if text.isdigit() else 0,
             )
-        )
+        return checked
 
     def fields_for_caller(self, fields: calls.Headers) -> calls.Headers:
         """Return a target's fields without hop-by-hop fields."""
@@ -201,6 +207,13 @@
     return int(text)
 
 
+def parse_rate(text: bytes | None) -> float | None:
+    """Return a decimal number of calls per second; None if unset or invalid."""
+    if text is None or not _RATE_PATTERN.fullmatch(text):
+        return None
+    return float(text)
+
+
 def read_attempt(fields: calls.Headers) -> int:
     """Return how many earlier sends the caller reports; 0 if unset or invalid."""
     text = headers.find(fields, b"toucanfold-attempt") or b""
--- a/toucanfold/platform/fields.py
+++ b/toucanfold/platform/fields.py
@@ -11,6 +11,8 @@
 # Id under which the target announced itself.
 EXPECTED_INSTANCE = b"expected-instance"
 NOT_EXECUTED = b"not-executed"
+# Requests per second that the target accepts from all instances together.
+SERVER_LIMIT = b"server-limit"
 # Set by this product for the target; a caller's values are removed.
 _SET_BY_PRODUCT = frozenset(
     (b"authorization", DEADLINE, CALLER_SERVICE, TENANT, EXPECTED_INSTANCE)
@@ -78,14 +80,22 @@
         if echoed is not None and echoed.decode("latin-1") != call.root_id:
             return headerformat.ResponseCheck(matches_call=False)
         if answer.status == _MISDIRECTED_REQUEST:
-            return _refusal_check(
-                calls.RefusalKind.STOPPING, "another instance has the address"
+            return headerformat.ResponseCheck(
+                refusal=calls.Refusal(
+                    calls.RefusalKind.STOPPING,
+                    message="another instance has the address",
+                )
             )
+        checked = headerformat.ResponseCheck(
+            stated_rate=headerformat.parse_rate(
+                headers.find(answer.headers, SERVER_LIMIT)
+            )
+        )
         if headers.find(answer.headers, NOT_EXECUTED) is not None:
-            return _refusal_check(
-                calls.RefusalKind.OVERLOADED, "the target refused the call"
+            checked.refusal = calls.Refusal(
+                calls.RefusalKind.OVERLOADED, message="the target refused the call"
             )
-        return headerformat.ResponseCheck()
+        return checked
 
     def fields_for_caller(self, fields: calls.Headers) -> calls.Headers:
         """Return a target's fields without hop-by-hop ones."""
@@ -138,7 +148,3 @@
         if name == b"authorization" and value[:7].lower() == headerformat.BEARER:
             keys.add(value[7:].strip())
     return keys
-
-
-def _refusal_check(kind: calls.RefusalKind, message: str) -> headerformat.ResponseCheck:
-    return headerformat.ResponseCheck(refusal=calls.Refusal(kind, message=message))
