Pace the calls to a target that states a rate

Cause: placing and admission know concurrency, latency and refusals only; a limit in calls per second was no input of any decision.

All calls to a target pass its own daemon, so the dispatcher paces them there: a token bucket at the stated rate, with the queue's order, expected wait and refusals. Answers report the concurrency that the rate needs, so entries prefer other targets. A restarted daemon starts slowly until the first response, since it may not know a stated rate. Ruled out: shares for each entry (below one call for most), and a rate kept by control.

--- a/tests/test_statedrate.py
+++ b/tests/test_statedrate.py
@@ -7,7 +7,7 @@
 import helpers
 import pytest
 
-from toucanfold import httpserver
+from toucanfold import headerformat, httpserver, statedrate
 
 # Bound of the platform: what the rate allows in a window, by half more, and 5 calls.
 WINDOW_S = 4.0
@@ -87,3 +87,78 @@
             assert set(outcomes) == {"ran", "not-run"}
 
     helpers.run(scenario())
+
+
+def test_restarted_daemon_does_not_exceed_the_rate_stated_before():
+    async def scenario():
+        state = fleetparts.fleet_state(admission="fair")
+        async with fleetparts.Fleet(state) as fleet:
+            target, address = await limited_fleet(fleet, 4.0)
+            calling = asyncio.ensure_future(
+                call_steadily([fleet.address("entry")], 40, 4.5)
+            )
+            await asyncio.sleep(2.0)
+            fleet.daemons["b"].stop()
+            await asyncio.sleep(0.3)
+            await fleet.daemon("b", "shop", address)
+            await calling
+            assert target.most_in_window() <= allowed(4.0)
+            assert target.arrivals[-1] - target.arrivals[0] > 3.0
+
+    helpers.run(scenario())
+
+
+def test_other_targets_take_the_calls_above_a_stated_rate():
+    async def scenario():
+        state = fleetparts.fleet_state(admission="fair")
+        async with fleetparts.Fleet(state) as fleet:
+            target, _ = await limited_fleet(fleet, 5.0)
+            free = LimitedTarget(None)
+            await fleet.daemon("c", "shop", await fleet.target(free))
+            outcomes = await call_steadily([fleet.address("entry")], 50, 4.5)
+            assert outcomes["ran"] >= 0.99 * outcomes.total()
+            assert target.most_in_window() <= allowed(5.0)
+
+    helpers.run(scenario())
+
+
+def test_target_that_states_no_rate_any_more_gets_all_calls_again():
+    async def scenario():
+        state = fleetparts.fleet_state(admission="fair")
+        async with fleetparts.Fleet(state) as fleet:
+            target, _ = await limited_fleet(fleet, 2.0)
+            await call_steadily([fleet.address("entry")], 20, 1.5)
+            target.rate = None
+            await call_steadily([fleet.address("entry")], 20, 1.0)
+            outcomes = await call_steadily([fleet.address("entry")], 50, 1.0)
+            assert outcomes == {"ran": 50}
+
+    helpers.run(scenario())
+
+
+def test_late_response_without_a_rate_does_not_end_the_stated_one():
+    """Guards against responses of concurrent calls that are read out of order."""
+    stated = statedrate.StatedRate()
+    stated.on_response(10.0, sent_at=9.8, rate=4.0)
+    stated.on_response(10.1, sent_at=9.9, rate=None)
+    assert stated.rate == 4.0
+    stated.on_response(10.3, sent_at=10.2, rate=None)
+    assert stated.rate is None
+    assert stated.wait_s(10.3) == 0.0
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.2])
+def test_rate_near_zero_leaves_a_call_that_can_tell_its_end(rate):
+    stated = statedrate.StatedRate()
+    stated.on_response(0.0, sent_at=-1.0, rate=rate)
+    now, sent = 0.0, 0
+    while now < 20.0:
+        now += max(0.001, stated.wait_s(now))
+        stated.on_sent(now)
+        sent += 1
+    assert 2 <= sent <= 12
+
+
+@pytest.mark.parametrize("text", [b"-1", b"nan", b"inf", b"1e9", b"", b"12,5", b"0x1"])
+def test_malformed_rate_states_nothing(text):
+    assert headerformat.parse_rate(text) is None
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -82,13 +82,16 @@
         self._self_time_s = 0.0
         self._window_timer: asyncio.TimerHandle | None = None
         self._stated_rate = statedrate.StatedRate()
+        self._stated_rate_timer: asyncio.TimerHandle | None = None
+        self._target_start = self._target_status.start
         self._stated_rate_logged_at = float("-inf")
         tokens.on_wait_started = self._on_wait_started
 
     @property
     def limit(self) -> int:
-        """Current concurrency limit of the target."""
-        return self._limiter.limit
+        """Current concurrency limit of the target; lower at a low stated rate."""
+        paced = self._stated_rate.concurrency(self._service_time_s)
+        return int(min(self._limiter.limit, paced))
 
     @property
     def active(self) -> int:
@@ -116,8 +119,9 @@
 
     def stop(self) -> None:
         """Stop the periodic update and close the connections."""
-        if self._window_timer is not None:
-            self._window_timer.cancel()
+        for timer in (self._window_timer, self._stated_rate_timer):
+            if timer is not None:
+                timer.cancel()
         self.pool.close()
 
     def on_target_status(self) -> None:
@@ -128,6 +132,9 @@
         """
         if isinstance(self._limiter, limiter.AnnouncedLimit):
             self._limiter.on_announced_limit(self._target_status.concurrency_limit)
+        if self._target_status.start != self._target_start:
+            self._target_start = self._target_status.start
+            self._stated_rate = statedrate.StatedRate()
         if self._target_status.accepts_calls:
             self._dispatch_waiting(self._loop.time())
             return
@@ -164,7 +171,7 @@
         granted = self._loop.create_future()
         self._waiting[call_id] = granted
         queued_call = _to_queued_call(call_id, call, now)
-        self._refuse(self._queue.enqueue(now, queued_call, self._expected_wait_s()))
+        self._refuse(self._queue.enqueue(now, queued_call, self._expected_wait_s(now)))
         if not granted.done():
             self._dispatch_waiting(now)
         if not granted.done():
@@ -222,7 +229,7 @@
 
     def _dispatch_waiting(self, now: float) -> None:
         """Grant free permits to queued calls."""
-        while self._has_permit() and len(self._queue):
+        while self._has_permit(now) and len(self._queue):
             queued_call, refused = self._queue.dequeue(now, self._service_time_s)
             self._refuse(refused)
             if queued_call is None:
@@ -231,16 +238,34 @@
             if granted is None or granted.done():
                 continue
             self.in_flight += 1
+            self._stated_rate.on_sent(now)
             granted.set_result(None)
+        if len(self._queue):
+            self._dispatch_at_stated_rate(now)
+
+    def _dispatch_at_stated_rate(self, now: float) -> None:
+        """Dispatch again once the target accepts the next call."""
+        wait_s = self._stated_rate.wait_s(now)
+        if wait_s > 0 and self._stated_rate_timer is None:
+            self._stated_rate_timer = self._loop.call_at(
+                now + wait_s, self._on_stated_rate_timer
+            )
+
+    def _on_stated_rate_timer(self) -> None:
+        self._stated_rate_timer = None
+        self._dispatch_waiting(self._loop.time())
 
-    def _has_permit(self) -> bool:
+    def _has_permit(self, now: float) -> bool:
         has_connection = self.in_flight < self.pool.limit
-        return has_connection and self.active < self._limiter.limit
+        has_place = has_connection and self.active < self._limiter.limit
+        return has_place and self._stated_rate.wait_s(now) <= 0
 
-    def _expected_wait_s(self) -> float:
-        if self._has_permit() and not len(self._queue):
+    def _expected_wait_s(self, now: float) -> float:
+        if self._has_permit(now) and not len(self._queue):
             return 0.0
-        return (len(self._queue) + 1) * self._self_time_s / max(1, self.limit)
+        queued = len(self._queue)
+        by_limit = (queued + 1) * self._self_time_s / max(1, self._limiter.limit)
+        return max(by_limit, self._stated_rate.wait_s(now, queued))
 
     async def _dispatch(self, call: calls.Call, started_at: float) -> calls.Answer:
         token = self.tokens.issue(call)
@@ -276,7 +301,6 @@
                 kind = limiter.FinishKind.TIMEOUT
             return acquired, kind
         running.connection = acquired
-        self._stated_rate.on_sent(self._loop.time())
         exchanged = await acquired.exchange(
             call.method,
             call.path,
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -50,6 +50,12 @@
         """Id of the newest instance, empty if none is known."""
         return "" if self._newest is None else self._newest.instance
 
+    @property
+    def start(self) -> tuple[str, int]:
+        """Id and start time (Unix ms) of the newest instance, empty if unknown."""
+        newest = self._newest
+        return ("", 0) if newest is None else (newest.instance, newest.started_at_ms)
+
     @property
     def concurrency_limit(self) -> int:
         """Announced number of calls that run at a time, 0 if none was announced."""
