Send no call to a target after it stated that it is leaving

- The dispatcher refuses calls from the first such response on (not run, so they go to other targets); queued ones at once.
- Answers between daemons label the start of the target that is leaving, and entries avoid that start also when its own daemon restarts.
- The directory of targets records the departure of a start, also that of a withdrawn announcement, and keeps a restarted daemon from announcing it again: a delayed announcement could put a target that had left back into use.
- A target without announcements is used again once its address has refused a connection and accepts one, or after 60 s.

Ruled out: the daemon's memory alone (lost with its restart), and the directory alone (late while control is cut off).

--- a/tests/fleetparts.py
+++ b/tests/fleetparts.py
@@ -123,14 +123,30 @@
         return address
 
     async def daemon(
-        self, name, service, target_address, contexts=None, rate=None, **options
+        self,
+        name,
+        service,
+        target_address,
+        contexts=None,
+        rate=None,
+        header_format=None,
+        target_status=None,
+        **options,
     ):
         """Start a daemon and add its target to the fleet state."""
         settings = make_settings(
             self.folder.name, name, service, target_address, **options
         )
         identity = daemon.identity_of(settings, SECRET)
-        new_daemon = daemon.Daemon(settings, identity, self.source, contexts, rate=rate)
+        new_daemon = daemon.Daemon(
+            settings,
+            identity,
+            self.source,
+            contexts,
+            rate=rate,
+            header_format=header_format,
+            target_status=target_status,
+        )
         await new_daemon.start()
         self.stack.callback(new_daemon.stop)
         self.daemons[name] = new_daemon
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -481,12 +481,42 @@
     assert process.stdout.strip() == "Linux"
 
 
+@pytest.mark.parametrize(
+    ("fields_of_target", "rate", "is_leaving"),
+    [
+        ([(b"server-limit", b"12.5")], 12.5, False),
+        ([(b"server-limit", b"many")], None, False),
+        ([(b"server-leaving", b"1")], None, True),
+        ([(b"server-leaving", b"0")], None, False),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_statements_of_a_target_are_read_from_every_response(
+    fields_of_target, rate, is_leaving, status
+):
+    if status == 503:
+        fields_of_target = [*fields_of_target, (b"not-executed", b"1")]
+    response = httpclient.TargetResponse(status, fields_of_target)
+    checked = fields.PlatformHeaderFormat().check_response(call(), response)
+    assert checked.stated_rate == rate
+    assert checked.is_leaving is is_leaving
+    assert (checked.refusal is not None) is (status == 503)
+
+
 def test_platform_names_stay_in_their_package():
     """Guards against the platform's names in modules outside its package."""
     root = pathlib.Path(__file__).parent.parent / "toucanfold"
     for path in root.glob("*.py"):
         text = path.read_text().lower()
-        for name in ("deadline-ms", "not-executed", "api_keys", "tenants", "no_auth"):
+        for name in (
+            "deadline-ms",
+            "not-executed",
+            "server-limit",
+            "server-leaving",
+            "api_keys",
+            "tenants",
+            "no_auth",
+        ):
             assert name not in text, (path, name)
 
 
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -170,6 +170,7 @@
 
     body_stream is None when body holds the complete body. undispatched is set when the
     call left the queue of the target's daemon without being sent to the target.
+    departing is the label of the answering instance if it stated that it is leaving.
     """
 
     status: int = 0
@@ -184,6 +185,7 @@
     in_flight: int = 0
     target_seconds: float = 0.0
     undispatched: bool = False
+    departing: str = ""
     body_stream: AsyncIterator[bytes] | None = None
 
     @classmethod
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -45,6 +45,7 @@
     ratelimiter,
     reloading,
     remotetokens,
+    restartwatch,
     retries,
     router,
     targetstatus,
@@ -160,6 +161,7 @@
             self.downstream_levels,
         )
         self.dispatcher.on_call_aborted = self.egress.on_call_aborted
+        self.dispatcher.on_leaving = self._on_target_leaving
         self.callers = httpserver.Server(self.entry, self._limits())
         self.egress_server = httpserver.Server(self.egress, self._limits())
         self.debug_server = httpserver.Server(
@@ -170,6 +172,7 @@
         self._draining = False
         self._plugin_settings = ("", "", 0, 0)
         self._report_timer: asyncio.TimerHandle | None = None
+        self._restart_watch: asyncio.Task[None] | None = None
         source.subscribe(self._on_state)
 
     @property
@@ -256,6 +259,8 @@
             server.stop()
         self.peers.stop()
         self.dispatcher.stop()
+        if self._restart_watch is not None:
+            self._restart_watch.cancel()
         if self._report_timer is not None:
             self._report_timer.cancel()
 
@@ -346,8 +351,25 @@
 
     async def on_target_status(self) -> None:
         """Apply a status change of the local target and announce it to the fleet."""
+        self._apply_target_status()
+
+    def _apply_target_status(self) -> None:
         self.dispatcher.on_target_status()
-        await self.source.set_ready(self.target_status.accepts_calls)
+        status = self.target_status
+        self.source.set_ready(status.accepts_calls, status.label, status.departed)
+
+    def _on_target_leaving(self) -> None:
+        self._apply_target_status()
+        if not self.target_status.label:
+            self._restart_watch = asyncio.get_running_loop().create_task(
+                self._wait_for_restart()
+            )
+
+    async def _wait_for_restart(self) -> None:
+        await restartwatch.wait_for_restart(self._get("target_address"))
+        logging.info("the target has restarted")
+        self.target_status.on_restarted(asyncio.get_running_loop().time())
+        self._apply_target_status()
 
     def complete_copies(self) -> list[messages.SlotMark]:
         """Return the slots of which this daemon, as backup, has a complete copy."""
@@ -439,6 +461,11 @@
         The most important profile of this service selects the plug-ins.
         """
         now = asyncio.get_running_loop().time()
+        own_target = state.targets.get(self._identity.name)
+        if own_target is not None and self.target_status.on_recorded_departure(
+            own_target.departed
+        ):
+            self._apply_target_status()
         self.router.update(now, state)
         self._holder_selector.on_state(state)
         self.owner.on_state(now, state)
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -36,14 +36,25 @@
 class _RunningCall:
     """A dispatched call, until its response and any streamed body have ended."""
 
-    __slots__ = ("connection", "ended", "started_at", "timer", "token")
+    __slots__ = (
+        "connection",
+        "ended",
+        "is_target_leaving",
+        "started_at",
+        "target",
+        "timer",
+        "token",
+    )
 
-    def __init__(self, token: calls.CallToken, started_at: float):
+    def __init__(self, token: calls.CallToken, started_at: float, target: str):
         self.token = token
+        # Label of the instance to which the call is sent.
+        self.target = target
         self.started_at = started_at
         self.connection: httpclient.Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
+        self.is_target_leaving = False
 
 
 class Dispatcher:
@@ -70,6 +81,8 @@
         self.level = calls.MAX_LEVEL
         # Called with the token of a call that ended without the target's response.
         self.on_call_aborted: Callable[[calls.CallToken], None] | None = None
+        # Called when a response has stated that the target is leaving.
+        self.on_leaving: Callable[[], None] | None = None
         self._limiter = concurrency
         self._queue = queue
         self._downstream_levels = downstream_levels or pressure.DownstreamLevels()
@@ -269,7 +282,7 @@
 
     async def _dispatch(self, call: calls.Call, started_at: float) -> calls.Answer:
         token = self.tokens.issue(call)
-        running = _RunningCall(token, started_at)
+        running = _RunningCall(token, started_at, self._target_status.label)
         self._limiter.on_start(started_at, self.active)
         try:
             running.timer = self._loop.call_at(
@@ -289,6 +302,8 @@
             )
         else:
             self._finish(running, kind)
+        if running.is_target_leaving:
+            answer.departing = running.target
         return self._add_load_report(call, answer, token)
 
     async def _exchange(
@@ -338,6 +353,9 @@
         response_check = self._header_format.check_response(call, answer)
         if response_check.matches_call:
             self._on_stated_rate(running.started_at, response_check.stated_rate)
+            if response_check.is_leaving:
+                running.is_target_leaving = True
+                self._on_leaving(running.target)
         if response_check.refusal is not None:
             bodies.cancel(answer.body_stream)
             return calls.Answer.refused(response_check.refusal), limiter.FinishKind.SHED
@@ -357,6 +375,14 @@
         kind = limiter.FinishKind.SHED if is_shed else limiter.FinishKind.OK
         return passed, kind
 
+    def _on_leaving(self, label: str) -> None:
+        if not self._target_status.on_leaving(self._loop.time(), label):
+            return
+        logging.info("target %s states that it is leaving", label or "(unannounced)")
+        self.on_target_status()
+        if self.on_leaving is not None:
+            self.on_leaving()
+
     def _on_stated_rate(self, sent_at: float, rate: float | None) -> None:
         now = self._loop.time()
         if self._stated_rate.on_response(now, sent_at, rate):
--- a/toucanfold/headerformat.py
+++ b/toucanfold/headerformat.py
@@ -40,12 +40,13 @@
     A refusal states that the target did not run the call. A response with matches_call
     False belongs to another call and must not be passed on. stated_rate is the number
     of calls per second that the target accepts from the whole fleet, None if it states
-    none.
+    none. is_leaving states that the target stops and must get no further calls.
     """
 
     matches_call: bool = True
     refusal: calls.Refusal | None = None
     stated_rate: float | None = None
+    is_leaving: bool = False
 
 
 class HeaderFormat(Protocol):
@@ -144,7 +145,10 @@
     ) -> ResponseCheck:
         """Return a refusal if the response is 503 with Toucanfold-Not-Run: 1."""
         checked = ResponseCheck(
-            stated_rate=parse_rate(headers.find(answer.headers, b"toucanfold-max-rate"))
+            stated_rate=parse_rate(
+                headers.find(answer.headers, b"toucanfold-max-rate")
+            ),
+            is_leaving=headers.find(answer.headers, b"toucanfold-leaving") == b"1",
         )
         is_refused = headers.find(answer.headers, b"toucanfold-not-run") == b"1"
         if answer.status == 503 and is_refused:
--- a/toucanfold/headers.py
+++ b/toucanfold/headers.py
@@ -36,6 +36,7 @@
 # Set by the daemon that responds to the caller.
 NEVER_TO_CALLER = HOP_BY_HOP | frozenset(
     (
+        b"toucanfold-leaving",
         b"toucanfold-max-rate",
         b"toucanfold-not-run",
         b"toucanfold-outcome",
--- a/toucanfold/interfaces.py
+++ b/toucanfold/interfaces.py
@@ -22,8 +22,10 @@
     def set_control_addresses(self, addresses: list[str]) -> None:
         """Use the control addresses of changed settings."""
 
-    async def set_ready(self, is_ready: bool) -> None:
-        """Announce whether this daemon's target accepts calls."""
+    def set_ready(
+        self, is_ready: bool, target_instance: str = "", departed: str = ""
+    ) -> None:
+        """Announce whether this daemon's target accepts calls, and its labels."""
 
     async def drain(self) -> None:
         """Announce that this daemon accepts no new calls."""
@@ -58,7 +60,9 @@
         """Record the addresses."""
         self.events.append(f"seeds {' '.join(addresses)}")
 
-    async def set_ready(self, is_ready: bool) -> None:
+    def set_ready(
+        self, is_ready: bool, target_instance: str = "", departed: str = ""
+    ) -> None:
         """Record the announcement."""
         self.events.append("ready" if is_ready else "not ready")
 
--- a/toucanfold/linkcalls.py
+++ b/toucanfold/linkcalls.py
@@ -442,6 +442,7 @@
         in_flight=answer.in_flight,
         target_us=int(answer.target_seconds * 1e6),
         undispatched=answer.undispatched,
+        departing=answer.departing,
     )
 
 
@@ -469,4 +470,5 @@
         in_flight=message.in_flight,
         target_seconds=message.target_us / 1e6,
         undispatched=message.undispatched,
+        departing=message.departing,
     )
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -83,6 +83,7 @@
   inFlight @13 :UInt32;
   targetUs @14 :UInt64;
   undispatched @15 :Bool;
+  departing @16 :Text;
 }
 
 struct Body {
@@ -179,6 +180,8 @@
   dataCentre @4 :Text;
   linkAddress @5 :Text;
   state @6 :Text;
+  targetInstance @7 :Text;
+  departed @8 :Text;
 }
 
 struct SlotMark {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -121,6 +121,7 @@
     in_flight: int = 0
     target_us: int = 0
     undispatched: bool = False
+    departing: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -270,7 +271,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Announcement(Message):
-    """A daemon's description of its target; state is up or draining."""
+    """A daemon's description of its target; state is up or draining.
+
+    target_instance and departed are labels of targetstatus.TargetStatus.
+    """
 
     name: str = ""
     incarnation: int = 0
@@ -279,6 +283,8 @@
     data_centre: str = ""
     link_address: str = ""
     state: str = "up"
+    target_instance: str = ""
+    departed: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/model.py
+++ b/toucanfold/model.py
@@ -294,7 +294,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Target(Entity):
-    """A target that its daemon announced."""
+    """A target that its daemon announced.
+
+    incarnation counts starts of the daemon. target_instance labels the start of the
+    target itself, and departed the last start that left or is leaving.
+    """
 
     name: str
     incarnation: int
@@ -304,6 +308,8 @@
     link_address: str
     state: str = "up"
     revision: int = 0
+    target_instance: str = ""
+    departed: str = ""
 
     def validation_error(self) -> str:
         """Return what is wrong with the values, or an empty string."""
--- a/toucanfold/platform/fields.py
+++ b/toucanfold/platform/fields.py
@@ -13,6 +13,8 @@
 NOT_EXECUTED = b"not-executed"
 # Requests per second that the target accepts from all instances together.
 SERVER_LIMIT = b"server-limit"
+# The target that answers is leaving, not the instance that passes the answer on.
+SERVER_LEAVING = b"server-leaving"
 # Set by this product for the target; a caller's values are removed.
 _SET_BY_PRODUCT = frozenset(
     (b"authorization", DEADLINE, CALLER_SERVICE, TENANT, EXPECTED_INSTANCE)
@@ -89,7 +91,8 @@
         checked = headerformat.ResponseCheck(
             stated_rate=headerformat.parse_rate(
                 headers.find(answer.headers, SERVER_LIMIT)
-            )
+            ),
+            is_leaving=headers.find(answer.headers, SERVER_LEAVING) == b"1",
         )
         if headers.find(answer.headers, NOT_EXECUTED) is not None:
             checked.refusal = calls.Refusal(
--- /dev/null
+++ b/toucanfold/restartwatch.py
@@ -0,0 +1,38 @@
+"""Waits until a target that announces nothing has restarted after it left."""
+
+import asyncio
+import contextlib
+
+from toucanfold import link
+
+POLL_INTERVAL_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
+# A target that still accepts connections after this time is used again; its next
+# response tells whether it is still leaving.
+MAX_LEAVING_S = 60.0
+
+
+async def wait_for_restart(address: str) -> None:
+    """Return once the address refused connections and then accepts one again."""
+    loop = asyncio.get_running_loop()
+    gives_up_at = loop.time() + MAX_LEAVING_S
+    has_ended = False
+    while True:
+        await asyncio.sleep(POLL_INTERVAL_S)
+        is_listening = await _is_listening(address)
+        if is_listening and (has_ended or loop.time() >= gives_up_at):
+            return
+        has_ended = has_ended or not is_listening
+
+
+async def _is_listening(address: str) -> bool:
+    host, port = link.split_address(address)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    return True
--- a/toucanfold/router.py
+++ b/toucanfold/router.py
@@ -13,6 +13,8 @@
 # Size assumed for a streamed body without a Content-Length.
 ASSUMED_BODY_BYTES = 64 * 1024
 CALL_OVERHEAD_BYTES = 512
+# Targets of which this daemon remembers that an instance is leaving.
+MAX_DEPARTING_TARGETS = 1024
 
 _FAILED_KINDS = (calls.RefusalKind.TARGET_FAILED, calls.RefusalKind.NO_TARGET)
 
@@ -57,6 +59,7 @@
         "_balancers",
         "_by_name",
         "_data_centre",
+        "_departing",
         "_is_first_update",
         "_name",
         "_region",
@@ -86,6 +89,9 @@
         self._by_name: dict[str, candidates.Candidate] = {}
         self._balancers: dict[tuple[str, str], balancers.Balancer] = {}
         self._reserved_bytes: dict[str, int] = {}
+        # Labels of the instances that stated they are leaving, by target. Kept here,
+        # since the target's daemon may restart and not know it.
+        self._departing: dict[str, str] = {}
 
     def update(self, now: float, state: model.FleetState) -> None:
         """Apply a new fleet state; targets that are not up get no further calls."""
@@ -93,7 +99,7 @@
         by_service: dict[str, list[candidates.Candidate]] = {}
         by_name = {}
         for target in state.targets.values():
-            if target.state == "up":
+            if target.state == "up" and not self._is_departing(target):
                 candidate = self._candidate_for(now, target)
                 by_name[target.name] = candidate
                 by_service.setdefault(target.service, []).append(candidate)
@@ -155,8 +161,19 @@
         seconds is the time since the call was sent, route the name of its route.
         """
         candidate = self._end_attempt(name)
-        if candidate is None:
-            return
+        if candidate is not None:
+            self._record_answer(now, candidate, answer, seconds, route)
+        if answer.departing:
+            self._on_departing(now, name, answer.departing)
+
+    def _record_answer(
+        self,
+        now: float,
+        candidate: candidates.Candidate,
+        answer: calls.Answer,
+        seconds: float,
+        route: str,
+    ) -> None:
         if candidate.tier == candidates.OTHER_REGION:
             self.budget.charge(now, len(answer.body))
         if answer.limit > 0:
@@ -179,6 +196,19 @@
                 candidate.refused_at = now
             self._readmit(candidate)
 
+    def _on_departing(self, now: float, name: str, label: str) -> None:
+        if self._departing.get(name) == label:
+            return
+        self._departing.pop(name, None)
+        self._departing[name] = label
+        while len(self._departing) > MAX_DEPARTING_TARGETS:
+            del self._departing[next(iter(self._departing))]
+        self.update(now, self._state)
+
+    def _is_departing(self, target: model.Target) -> bool:
+        label = self._departing.get(target.name)
+        return label is not None and label == target.target_instance
+
     def on_failure(self, now: float, name: str) -> None:
         """Count a call that failed without an answer of the target's daemon."""
         candidate = self._end_attempt(name)
--- a/toucanfold/store.py
+++ b/toucanfold/store.py
@@ -353,6 +353,7 @@
 ) -> Planned:
     announced = model.Target(**command.target)
     current = state.targets.get(announced.name)
+    _keep_departure(current, announced)
     if current is None or current.incarnation != announced.incarnation:
         return _plan_new_incarnation(current, announced)
     if current.state == "left":
@@ -367,6 +368,17 @@
     return result.Success(([("targets", announced.to_json())], []))
 
 
+def _keep_departure(current: model.Target | None, announced: model.Target) -> None:
+    """Keep a recorded departure; a daemon that restarted does not know it."""
+    if current is not None and not announced.departed:
+        announced.departed = current.departed
+    has_departed = (
+        announced.departed and announced.departed == announced.target_instance
+    )
+    if has_departed and announced.state == "up":
+        announced.state = "waiting"
+
+
 def _plan_new_incarnation(
     current: model.Target | None, announced: model.Target
 ) -> Planned:
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -38,12 +38,22 @@
 class TargetStatus:
     """The newest instance of the daemon's target and whether it accepts calls."""
 
-    __slots__ = ("_newest", "_require_announcement", "_terminated")
+    __slots__ = (
+        "_departed",
+        "_is_unannounced_leaving",
+        "_newest",
+        "_require_announcement",
+        "_terminated",
+    )
 
     def __init__(self, require_announcement: bool = False):
         self._require_announcement = require_announcement
         self._newest: Announcement | None = None
+        # Start times (Unix ms) of instances that left or are leaving, by id.
         self._terminated: dict[str, int] = {}
+        # Label of the last of them.
+        self._departed = ""
+        self._is_unannounced_leaving = False
 
     @property
     def instance(self) -> str:
@@ -56,6 +66,16 @@
         newest = self._newest
         return ("", 0) if newest is None else (newest.instance, newest.started_at_ms)
 
+    @property
+    def label(self) -> str:
+        """Text that identifies the newest instance in the directory of targets."""
+        return "" if self._newest is None else _label(self._newest)
+
+    @property
+    def departed(self) -> str:
+        """Label of the last instance that left or is leaving, empty if none."""
+        return self._departed
+
     @property
     def concurrency_limit(self) -> int:
         """Announced number of calls that run at a time, 0 if none was announced."""
@@ -65,7 +85,7 @@
     def accepts_calls(self) -> bool:
         """Whether calls may be sent to the target."""
         if self._newest is None:
-            return not self._require_announcement
+            return not (self._require_announcement or self._is_unannounced_leaving)
         return self._newest.is_ready and not self._is_terminated(self._newest)
 
     def on_announcement(self, now: float, announcement: Announcement) -> bool:
@@ -82,11 +102,45 @@
         newest = self._newest
         if newest is None or newest.instance != instance:
             return False
+        self._terminate(instance, newest.started_at_ms)
+        return True
+
+    def on_leaving(self, now: float, label: str) -> bool:
+        """Apply a response that states that its instance is leaving.
+
+        label is that of the instance to which the call was sent, empty if it had not
+        announced itself. Returns False if the status does not change.
+        """
+        if label != self.label or not self.accepts_calls:
+            return False
+        if self._newest is None:
+            self._is_unannounced_leaving = True
+        else:
+            self._terminate(self._newest.instance, self._newest.started_at_ms)
+        return True
+
+    def on_recorded_departure(self, label: str) -> bool:
+        """Apply the departure that the directory of targets has recorded.
+
+        Returns whether the target accepts no calls any more because of it.
+        """
+        started_at_ms, _, instance = label.partition("/")
+        if not instance or label == self._departed:
+            return False
+        did_accept = self.accepts_calls
+        self._terminate(instance, int(started_at_ms))
+        return did_accept and not self.accepts_calls
+
+    def on_restarted(self, now: float) -> None:
+        """Accept calls again for a target without announcements that has restarted."""
+        self._is_unannounced_leaving = False
+
+    def _terminate(self, instance: str, started_at_ms: int) -> None:
         self._terminated.pop(instance, None)
-        self._terminated[instance] = newest.started_at_ms
+        self._terminated[instance] = started_at_ms
+        self._departed = f"{started_at_ms}/{instance}"
         while len(self._terminated) > MAX_TERMINATED_INSTANCES:
             del self._terminated[next(iter(self._terminated))]
-        return True
 
     def refuse(self) -> calls.Answer:
         """Return the refusal of a call while the target accepts none."""
@@ -94,7 +148,7 @@
             calls.RefusalKind.NO_TARGET,
             "the target has not announced itself",
         )
-        if self._newest is not None:
+        if self._newest is not None or self._is_unannounced_leaving:
             kind, message = (
                 calls.RefusalKind.STOPPING,
                 f"target {self.instance} is leaving",
@@ -106,3 +160,7 @@
         return announcement.started_at_ms <= self._terminated.get(
             announcement.instance, -1
         )
+
+
+def _label(announcement: Announcement) -> str:
+    return f"{announcement.started_at_ms}/{announcement.instance}"
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -143,8 +143,15 @@
         """Set the state that is announced first; to be called before start."""
         self._announcement.state = "up" if is_ready else "waiting"
 
-    async def set_ready(self, is_ready: bool) -> None:
-        """Announce whether the target accepts calls, without waiting for control."""
+    def set_ready(
+        self, is_ready: bool, target_instance: str = "", departed: str = ""
+    ) -> None:
+        """Announce the target's status, without waiting for control.
+
+        target_instance and departed are labels of targetstatus.TargetStatus.
+        """
+        self._announcement.target_instance = target_instance
+        self._announcement.departed = departed
         if self._announcement.state in ("up", "waiting"):
             self._announcement.state = "up" if is_ready else "waiting"
             self._wake.set()
