Skip copies of earlier answers on connections to targets

Cause: the own interface compared no id, and the platform's compared it after the exchange, so a mismatch ended the call that was waiting.

An exchange now has an id, and no connection carries one id twice. The connection compares the echoed id when a response's head arrives, skips responses to others and waits for its own. A response that echoes no id is taken on the first exchange of a connection only and ends the connection; later it promises nothing. The stand-in targets echo the id.

--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -322,18 +322,22 @@
             self._target_headers(call, running.token),
             call.body,
             call.body_stream,
+            httpclient.ExchangeIdentity(
+                call.root_id.encode("latin-1"), self._header_format.find_echoed_id
+            ),
         )
         if not isinstance(exchanged, httpclient.result.Success):
             return self._to_refusal(call, exchanged.failure())
         return self._to_answer(call, exchanged.unwrap(), running)
 
     async def _acquire(self, call: calls.Call) -> httpclient.Connection | calls.Answer:
-        connection = self.pool.take_idle()
+        exchange_id = call.root_id.encode("latin-1")
+        connection = self.pool.take_idle(exchange_id)
         if connection is not None:
             return connection
         try:
             async with asyncio.timeout_at(call.deadline):
-                acquired = await self.pool.acquire()
+                acquired = await self.pool.acquire(exchange_id)
         except TimeoutError:
             return _deadline_refusal()
         if isinstance(acquired, httpclient.result.Success):
@@ -350,22 +354,14 @@
         answer: httpclient.TargetResponse,
         running: _RunningCall,
     ) -> tuple[calls.Answer, limiter.FinishKind]:
-        response_check = self._header_format.check_response(call, answer)
-        if response_check.matches_call:
-            self._on_stated_rate(running.started_at, response_check.stated_rate)
-            if response_check.is_leaving:
-                running.is_target_leaving = True
-                self._on_leaving(running.target)
+        response_check = self._header_format.check_response(answer)
+        self._on_stated_rate(running.started_at, response_check.stated_rate)
+        if response_check.is_leaving:
+            running.is_target_leaving = True
+            self._on_leaving(running.target)
         if response_check.refusal is not None:
             bodies.cancel(answer.body_stream)
             return calls.Answer.refused(response_check.refusal), limiter.FinishKind.SHED
-        if not response_check.matches_call:
-            bodies.cancel(answer.body_stream)
-            # The call's own response may still arrive and must not reach the next call.
-            if running.connection is not None:
-                running.connection.abort()
-            mismatch = exceptions.TargetError("the answer is another call's", sent=True)
-            return self._to_refusal(call, mismatch)
         caller_headers = self._header_format.fields_for_caller(answer.headers)
         passed = calls.Answer(
             answer.status, caller_headers, answer.body, body_stream=answer.body_stream
--- a/toucanfold/headerformat.py
+++ b/toucanfold/headerformat.py
@@ -37,13 +37,11 @@
 class ResponseCheck:
     """What a target's response states about its call.
 
-    A refusal states that the target did not run the call. A response with matches_call
-    False belongs to another call and must not be passed on. stated_rate is the number
+    A refusal states that the target did not run the call. stated_rate is the number
     of calls per second that the target accepts from the whole fleet, None if it states
     none. is_leaving states that the target stops and must get no further calls.
     """
 
-    matches_call: bool = True
     refusal: calls.Refusal | None = None
     stated_rate: float | None = None
     is_leaving: bool = False
@@ -78,9 +76,13 @@
         which the target was announced (empty if none).
         """
 
-    def check_response(
-        self, call: calls.Call, answer: httpclient.TargetResponse
-    ) -> ResponseCheck:
+    def find_echoed_id(self, fields: calls.Headers) -> bytes | None:
+        """Return the request id that a target's response echoes, None if it has none.
+
+        The target receives Call.root_id as the id of the request.
+        """
+
+    def check_response(self, answer: httpclient.TargetResponse) -> ResponseCheck:
         """Return what a target's response states about its call."""
 
     def fields_for_caller(self, fields: calls.Headers) -> calls.Headers:
@@ -140,9 +142,11 @@
             fields.append((b"idempotency-key", call.idempotency_key.encode("latin-1")))
         return fields
 
-    def check_response(
-        self, call: calls.Call, answer: httpclient.TargetResponse
-    ) -> ResponseCheck:
+    def find_echoed_id(self, fields: calls.Headers) -> bytes | None:
+        """Return the value of Toucanfold-Request-Id."""
+        return headers.find(fields, b"toucanfold-request-id")
+
+    def check_response(self, answer: httpclient.TargetResponse) -> ResponseCheck:
         """Return a refusal if the response is 503 with Toucanfold-Not-Run: 1."""
         checked = ResponseCheck(
             stated_rate=parse_rate(
--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, cast
 
 import h11
@@ -18,6 +18,10 @@
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
 # Most informational (1xx) responses before the response of one exchange.
 MAX_INFORMATIONAL_RESPONSES = 16
+# Most responses to earlier requests that are skipped in one exchange.
+MAX_SKIPPED_RESPONSES = 16
+# Exchanges of one connection, which bounds the ids that it keeps.
+MAX_EXCHANGES = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +34,18 @@
     body_stream: bodies.BodyStream | None = None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ExchangeIdentity:
+    """The id of an exchange, and how to find the id that a response echoes.
+
+    A target may send a second copy of an earlier response. Where a response echoes no
+    id, it cannot be told from such a copy, so its connection is not used again.
+    """
+
+    id: bytes
+    find_echoed_id: Callable[[calls.Headers], bytes | None]
+
+
 ExchangeResult = result.Result[TargetResponse, exceptions.TargetError]
 
 
@@ -41,14 +57,19 @@
         "_body_bytes",
         "_body_task",
         "_drained",
+        "_exchange_ids",
         "_has_unprocessed_events",
         "_http",
+        "_identity",
         "_informational_responses",
         "_is_head_request",
         "_is_parser_prepared",
+        "_is_skipping",
         "_loop",
+        "_may_be_reused",
         "_pool",
         "_response",
+        "_skipped_responses",
         "_stream",
         "_transport",
         "_waiter",
@@ -71,6 +92,11 @@
         self._is_head_request = False
         self._has_unprocessed_events = False
         self._informational_responses = 0
+        self._identity: ExchangeIdentity | None = None
+        self._exchange_ids: set[bytes] = set()
+        self._is_skipping = False
+        self._skipped_responses = 0
+        self._may_be_reused = True
         self.idle_since = 0.0
 
     @property
@@ -78,6 +104,10 @@
         """Whether a request can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    def has_carried(self, exchange_id: bytes) -> bool:
+        """Whether an exchange with this id was started on the connection."""
+        return exchange_id in self._exchange_ids
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and prepare the parser."""
         self._transport = cast(asyncio.Transport, transport)
@@ -111,13 +141,19 @@
         headers: calls.Headers,
         body: bytes,
         body_stream: AsyncIterator[bytes] | None,
+        identity: ExchangeIdentity | None = None,
     ) -> ExchangeResult:
-        """Send a request and return its response; cancelling closes the connection."""
+        """Send a request and return its response; cancelling closes the connection.
+
+        With an identity, responses that echo another id are skipped.
+        """
         self._waiter = waiter = self._loop.create_future()
         self._response, self._body, self._body_bytes = None, [], 0
         self._stream = None
-        self._informational_responses = 0
+        self._informational_responses = self._skipped_responses = 0
+        self._is_skipping = False
         self._is_head_request = method == "HEAD"
+        self._begin_identity(identity)
         try:
             self._send_head(method, path, headers, body, body_stream is not None)
         except h11.LocalProtocolError as error:
@@ -131,6 +167,15 @@
             self.abort()
             raise
 
+    def _begin_identity(self, identity: ExchangeIdentity | None) -> None:
+        self._identity = identity
+        if identity is None:
+            return
+        self._exchange_ids.add(identity.id)
+        # A copy of a response to HEAD has no body where later parsing expects one.
+        if self._is_head_request or len(self._exchange_ids) >= MAX_EXCHANGES:
+            self._may_be_reused = False
+
     def _send_head(
         self,
         method: str,
@@ -250,7 +295,39 @@
         if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
             raise h11.RemoteProtocolError("too many informational responses")
 
+    def _is_own_response(self, event: h11.Response) -> bool:
+        """Whether the response belongs to the current exchange; raises if unclear."""
+        if self._identity is None:
+            return True
+        echoed = self._identity.find_echoed_id(list(event.headers))
+        if echoed == self._identity.id:
+            return True
+        self._may_be_reused = False
+        if echoed is not None:
+            return False
+        if len(self._exchange_ids) > 1:
+            raise h11.RemoteProtocolError("the answer names no request")
+        return True
+
+    def _skip_response(self) -> None:
+        """Skip a response to an earlier request; the own one may follow."""
+        self._skipped_responses += 1
+        can_skip = self._http.our_state is h11.DONE and not self._is_head_request
+        if not can_skip or self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise h11.RemoteProtocolError("the answer is another request's")
+        self._is_skipping = True
+
+    def _on_skipped_response_end(self) -> None:
+        received = self._http.trailing_data[0]
+        self._is_skipping = False
+        self._prepare_parser()
+        if received:
+            self._http.receive_data(received)
+
     def _on_response_head(self, event: h11.Response) -> None:
+        if not self._is_own_response(event):
+            self._skip_response()
+            return
         self._response = TargetResponse(event.status_code, list(event.headers))
         if self._is_head_request or event.status_code in (204, 304):
             return
@@ -284,6 +361,8 @@
 
     def on_body_data(self, data: bytes) -> None:
         """Buffer or stream consecutive chunks of the response's body."""
+        if self._is_skipping:
+            return
         if self._stream is not None:
             self._stream.put(data)
             if (
@@ -332,6 +411,9 @@
             self._transport.resume_reading()
 
     def _on_response_end(self) -> None:
+        if self._is_skipping:
+            self._on_skipped_response_end()
+            return
         assert self._response is not None
         if self._stream is None:
             self._response.body = b"".join(self._body)
@@ -361,6 +443,9 @@
         self._return_to_pool()
 
     def _return_to_pool(self) -> None:
+        if not self._may_be_reused:
+            self._close_after_exchange()
+            return
         self._resume_reading()
         # Deferred, so that it does not delay the current response.
         self._is_parser_prepared = False
@@ -368,6 +453,12 @@
         self._loop.call_soon(self._prepare_parser_if_idle)
         self._pool.release(self)
 
+    def _close_after_exchange(self) -> None:
+        self._http = _IDLE_PARSER
+        if self._transport is not None:
+            self._transport.close()
+        self._pool.discard(self)
+
     def _prepare_parser_if_idle(self) -> None:
         if self._http is _IDLE_PARSER:
             self._prepare_parser()
@@ -431,13 +522,16 @@
         """Number of idle keep-alive connections."""
         return len(self._idle)
 
-    async def acquire(self) -> result.Result[Connection, exceptions.TargetError]:
+    async def acquire(
+        self, exchange_id: bytes = b""
+    ) -> result.Result[Connection, exceptions.TargetError]:
         """Return a connection for one exchange; waits while all are in use.
 
-        Failure if a new connection cannot be opened within CONNECT_TIMEOUT_S.
+        The connection has not carried an exchange with this id. Failure if a new
+        connection cannot be opened within CONNECT_TIMEOUT_S.
         """
         while True:
-            connection = self.take_idle()
+            connection = self.take_idle(exchange_id)
             if connection is not None:
                 return result.Success(connection)
             if len(self) < self.limit:
@@ -475,14 +569,20 @@
         for connection in list(self._all):
             connection.abort()
 
-    def take_idle(self) -> Connection | None:
-        """Return the most recently used open idle connection, None if there is none."""
+    def take_idle(self, exchange_id: bytes = b"") -> Connection | None:
+        """Return the most recently used idle connection, None if there is none.
+
+        A connection that has carried an exchange with this id is closed instead.
+        """
         now = asyncio.get_running_loop().time()
         self.close_idle(now)
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_open:
+            if not connection.is_open:
+                continue
+            if not connection.has_carried(exchange_id):
                 return connection
+            connection.abort()
         return None
 
     async def _connect(self) -> result.Result[Connection, exceptions.TargetError]:
--- a/toucanfold/platform/fields.py
+++ b/toucanfold/platform/fields.py
@@ -74,13 +74,14 @@
             fields.append((EXPECTED_INSTANCE, instance.encode("latin-1")))
         return fields
 
+    def find_echoed_id(self, fields: calls.Headers) -> bytes | None:
+        """Return the request id that a target's response echoes."""
+        return headers.find(fields, REQUEST_ID)
+
     def check_response(
-        self, call: calls.Call, answer: httpclient.TargetResponse
+        self, answer: httpclient.TargetResponse
     ) -> headerformat.ResponseCheck:
-        """Return whether the target refused the call, or responded to another one."""
-        echoed = headers.find(answer.headers, REQUEST_ID)
-        if echoed is not None and echoed.decode("latin-1") != call.root_id:
-            return headerformat.ResponseCheck(matches_call=False)
+        """Return what the response states; "not run" only where it says so."""
         if answer.status == _MISDIRECTED_REQUEST:
             return headerformat.ResponseCheck(
                 refusal=calls.Refusal(
--- a/toucanfold/standin.py
+++ b/toucanfold/standin.py
@@ -17,6 +17,7 @@
 LOGNORMAL_SIGMA = 0.25
 MAX_NESTED_TIMEOUT_S = 30.0
 TOKEN = b"toucanfold-token"
+REQUEST_ID = b"toucanfold-request-id"
 TIMEOUT = b"toucanfold-timeout-ms"
 ACCOUNT = b"toucanfold-account"
 KEY = b"idempotency-key"
@@ -214,11 +215,13 @@
         if self.is_draining or (self.spec.shed and self._workers.is_full):
             self._counts.totals["shed"] += 1
             headers = [(b"toucanfold-not-run", b"1"), (b"retry-after", b"1")]
-            return plainhttp.Response(503, headers, REFUSAL_BODY)
+            refusal = plainhttp.Response(503, headers, REFUSAL_BODY)
+            return _echo_request_id(request, refusal)
         self.open_requests += 1
         self.open_peak = max(self.open_peak, self.open_requests)
         try:
-            return await self._serve(request)
+            response = await self._serve(request)
+            return _echo_request_id(request, response)
         except asyncio.CancelledError:
             self._counts.totals["cancelled"] += 1
             raise
@@ -298,6 +301,16 @@
     return bare, service, rest
 
 
+def _echo_request_id(
+    request: plainhttp.Request, response: plainhttp.Response
+) -> plainhttp.Response:
+    """Add the id by which the daemon keeps the connection open."""
+    request_id = request.header(REQUEST_ID)
+    if request_id:
+        response.headers.append((REQUEST_ID, request_id.encode("latin-1")))
+    return response
+
+
 def _timeout_s(request: plainhttp.Request) -> float:
     text = request.header(TIMEOUT)
     return int(text) / 1000 if text.isdigit() else MAX_NESTED_TIMEOUT_S
