Refuse malformed announcements, and end no member at a malformed command

Seen by a trial on the store: an announcement with the address 'nowhere', an unknown state or no name was accepted as it was, and each daemon that opened a link to it met a ValueError, which callers got as 500. A committed command with missing fields raised in every member that applied it, at each start again.

Cause: announcements of daemons were the only objects of the fleet state built without the check that operators' objects pass; and planning trusted committed commands.

Announcements pass the same check, and a command whose planning raises is refused with the same outcome on every member, with a log line.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -210,3 +210,44 @@
     plan = [model.Slot("s", 1, 1).to_json(), model.Slot("s", 0, epoch).to_json()]
     assert apply(fleet, commands.AssignSlots(slots=plan))["kind"] == "conflict"
     assert list(fleet.state.slots) == [("s", 0)]
+
+
+MALFORMED_TARGETS = {
+    "no name": {"name": ""},
+    "state": {"state": "gone"},
+    "state of another type": {"state": 5},
+    "service": {"service": "no service"},
+    "address": {"link_address": "nowhere"},
+    "port": {"link_address": "127.0.0.1:none"},
+    "instance": {"target_instance": "i-1"},
+    "departure": {"departed": "never/i-1"},
+    "unknown field": {"colour": "red"},
+}
+
+
+@pytest.mark.parametrize("kind", MALFORMED_TARGETS)
+def test_malformed_announcement_changes_nothing(kind):
+    """Guards against one daemon's values that stop the calls of all others."""
+    fleet = store.FleetStore()
+    values = {**target().target, **MALFORMED_TARGETS[kind]}
+    outcome = apply(fleet, commands.AnnounceTarget(target=values))
+    assert outcome["kind"] == "invalid"
+    assert not fleet.state.targets
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b'{"kind":"AnnounceTarget","target":5}',
+        b'{"kind":"AnnounceTarget","target":{}}',
+        b'{"kind":"AssignSlots","slots":[{}]}',
+        b'{"kind":"AssignSlots","slots":[1]}',
+        b'{"kind":"PutRoute"}',
+    ],
+)
+def test_malformed_command_stops_no_member(data):
+    """Guards against a committed command at which each member ends at each start."""
+    fleet = store.FleetStore()
+    assert fleet.apply(1, data)["kind"] == "invalid"
+    assert fleet.revision == 0
+    assert apply(fleet, target())["ok"]
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -69,6 +69,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._planned_revision = -1
         self._starvations_logged_at = float("-inf")
+        self._refused_announcement = ""
         # Complete backup copies by daemon and incarnation, as reported in this term.
         self._copies_by_incarnation: dict[
             tuple[str, int], frozenset[leaderinterfaces.CompleteCopy]
@@ -270,10 +271,10 @@
     def _propose_announcement(self, target: Payload) -> None:
         command = commands.AnnounceTarget(target=target)
         planned = store.plan(self._store.state, command)
-        if (
-            isinstance(planned, result.Failure)
-            or planned.unwrap() == store.EMPTY_CHANGE
-        ):
+        if isinstance(planned, result.Failure):
+            self._log_refused_announcement(target["name"], planned.failure())
+            return
+        if planned.unwrap() == store.EMPTY_CHANGE:
             return
         current = self._store.state.targets.get(target["name"])
         has_terminated = target["state"] == "left"
@@ -281,6 +282,15 @@
             self._end_incarnation(current.name, current.incarnation)
         self._propose(f"announce {target['name']}", command)
 
+    def _log_refused_announcement(
+        self, name: str, error: exceptions.ToucanfoldError
+    ) -> None:
+        """Log a refused announcement, which each ping repeats, once."""
+        if error.message == self._refused_announcement:
+            return
+        self._refused_announcement = error.message
+        logging.warning("announcement of target %s refused: %s", name, error)
+
     def _mark_lost(self) -> None:
         now = asyncio.get_running_loop().time()
         for target in self._failure_detector.lost(now, self._store.state):
--- a/toucanfold/model.py
+++ b/toucanfold/model.py
@@ -34,6 +34,9 @@
 # No JSON text begins with this byte.
 COMPRESSED_PREFIX = b"\x01"
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+ADDRESS_PATTERN = re.compile(r"\S+:[0-9]{1,5}")
+# Start time (Unix ms) and id of an instance of a target.
+INSTANCE_PATTERN = re.compile(r"-?[0-9]{1,18}/.{1,4096}", re.DOTALL)
 KEY_PATTERN = re.compile(rb"tfk_[0-9a-f]{12}_[0-9a-f]{40}", re.IGNORECASE)
 
 Item = TypeVar("Item", bound="Entity")
@@ -317,6 +320,11 @@
             return _name_error(self.name) or _name_error(self.service)
         if self.state not in TARGET_STATES:
             return f"state must be one of {', '.join(TARGET_STATES)}"
+        if not ADDRESS_PATTERN.fullmatch(self.link_address):
+            return "link_address must be host:port"
+        labels = (self.target_instance, self.departed)
+        if not all(not text or INSTANCE_PATTERN.fullmatch(text) for text in labels):
+            return "an instance is not labelled with its start time and id"
         return ""
 
 
--- a/toucanfold/store.py
+++ b/toucanfold/store.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from absl import logging
 from returns import result
 
 from toucanfold import commands, exceptions, model
@@ -185,7 +186,12 @@
             del self._operations[first]
 
     def _run_command(self, command: commands.Command) -> dict[str, Any]:
-        planned = plan(self.state, command)
+        try:
+            planned = plan(self.state, command)
+        except Exception:
+            # Every member applies the command and would stop at it, at each start.
+            logging.exception("a command could not be applied; it is refused")
+            planned = _validation_failure("malformed command", "report a fault")
         if isinstance(planned, result.Failure):
             return self._refused_outcome(planned.failure())
         puts, removes = planned.unwrap()
@@ -351,7 +357,10 @@
 def _plan_announce_target(
     state: model.FleetState, command: commands.AnnounceTarget
 ) -> Planned:
-    announced = model.Target(**command.target)
+    checked = model.Target.from_json(command.target)
+    if isinstance(checked, result.Failure):
+        return checked
+    announced = checked.unwrap()
     current = state.targets.get(announced.name)
     _keep_departure(current, announced)
     if current is None or current.incarnation != announced.incarnation:
