Answer requests of accepted connections before a planned stop closes them

During a planned stop, requests on connections that had just been accepted were cut off without an answer: at a control instance on the listener of the platform and on the operators' one, at a daemon on all listeners but the callers'.

Cause: the callers' listener was drained, the others were aborted; the listeners stayed open until the abort, and connections without a request were closed at once although a request could be on its way.

Servers now have one planned end: stop listening, answer what arrives within 0.2 s and what has begun, then stop. Control and daemon use it for every listener but debug.

--- /dev/null
+++ b/tests/test_plannedstops.py
@@ -0,0 +1,117 @@
+"""Tests of requests that arrive while a process is being stopped."""
+
+import asyncio
+
+import fleetparts
+import helpers
+import pytest
+
+from toucanfold import control, credentials, httpserver, link, tls
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class SlowHandler(fleetparts.Recorder):
+    """Responds after a delay (s)."""
+
+    def __init__(self, delay_s=0.0):
+        async def respond(request):
+            await asyncio.sleep(delay_s)
+            return httpserver.Response(200, [], b"whole")
+
+        super().__init__(respond)
+
+
+async def accepted_connection(address):
+    reader, writer = await asyncio.open_connection(*link.split_address(address))
+    await asyncio.sleep(0.05)
+    return reader, writer
+
+
+@pytest.mark.parametrize("listener", ["admin_listen", "platform_listen"])
+@pytest.mark.parametrize("delay_s", [0.0, 0.1])
+def test_control_answers_requests_that_arrive_during_its_stop(
+    tmp_path, listener, delay_s
+):
+    """Guards against a planned stop that cuts accepted requests off."""
+
+    async def scenario():
+        settings = helpers.control_settings(tmp_path)
+        address = helpers.free_address()
+        with open(settings.file, "a") as file:
+            file.write(f"platform_listen = {address}\n")
+        settings = control.config.read(settings.file, "control").unwrap()
+        instance = control.Control(
+            settings,
+            helpers.SECRET,
+            credentials.read(str(tmp_path / "admin")).unwrap(),
+            tls.Contexts(),
+            lambda fleet, send: helpers.FakeReplica(fleet),
+        )
+        instance.add(httpserver.Listener("platform_listen", SlowHandler(0.5)))
+        await instance.start()
+        address = settings.get("control", listener)
+        reader, writer = await accepted_connection(address)
+        stopping = asyncio.ensure_future(instance.stop())
+        await asyncio.sleep(delay_s)
+        writer.write(REQUEST)
+        reply = await fleetparts.read_reply(reader)
+        assert reply.status == (200 if listener == "platform_listen" else 401)
+        assert reply.headers["connection"] == "close"
+        writer.close()
+        await stopping
+        with pytest.raises(OSError):
+            await accepted_connection(address)
+
+    helpers.run(scenario())
+
+
+def test_daemon_answers_requests_of_all_listeners_before_it_stops():
+    """Guards against announcements of a target that are cut off by a planned stop."""
+
+    async def scenario():
+        async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+            options = {"announce_listen": helpers.free_address()}
+            daemon = await fleet.daemon("a", "shop", "127.0.0.1:1", **options)
+            listener = httpserver.Listener("announce_listen", SlowHandler(0.6))
+            await daemon.listen(listener)
+            reader, writer = await accepted_connection(options["announce_listen"])
+            draining = asyncio.ensure_future(daemon.drain())
+            # The drain has no call to wait for and ends about 1 s after its start.
+            await asyncio.sleep(0.8)
+            writer.write(REQUEST)
+            await draining
+            daemon.stop()
+            reply = await fleetparts.read_reply(reader)
+            assert (reply.status, reply.body) == (200, b"whole")
+
+    helpers.run(scenario())
+
+
+def test_caller_that_has_just_connected_is_answered_at_the_end_of_a_drain():
+    """Guards against callers whose accepted connection closes without an answer."""
+
+    async def scenario():
+        async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+            daemon = await fleet.daemon("a", "shop", "127.0.0.1:1")
+            draining = asyncio.ensure_future(daemon.drain())
+            replies = []
+            while not draining.done():
+                try:
+                    reader, writer = await asyncio.open_connection(
+                        *link.split_address(fleet.address("a"))
+                    )
+                except OSError:
+                    break
+                await asyncio.sleep(0.05)
+                if not len(daemon.callers):
+                    # The listener closed before it accepted the connection.
+                    break
+                writer.write(fleetparts.request_bytes())
+                replies.append(await fleetparts.read_reply(reader))
+                writer.close()
+            await draining
+            assert replies
+            assert all(reply.status == 503 for reply in replies[-3:])
+
+    helpers.run(scenario())
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -52,7 +52,6 @@
 # Maximum time for the open requests of each kind of listener in a planned stop, so that
 # the complete stop takes less than 6 s.
 STOP_TIMEOUT_S = 2.0
-STOP_POLL_INTERVAL_S = 0.02
 HELP_TEXT = "Runs a control instance until SIGTERM."
 
 # Maximum time for a change or a read of the configuration to reach a leader. After it,
@@ -207,8 +206,13 @@
         logging.info("stopping: finishing open requests")
         if self.replica.is_leader:
             await self.replica.transfer_leadership()
-        await self._http.stop(STOP_TIMEOUT_S)
-        await self._drain_extension_servers()
+        await asyncio.gather(
+            self._http.stop(STOP_TIMEOUT_S),
+            *(
+                server.shut_down(STOP_TIMEOUT_S)
+                for _, server in self._extension_servers
+            ),
+        )
         if self._server is not None:
             self._server.close()
         await self.watchers.stop()
@@ -227,14 +231,6 @@
         await self.watchers.stop()
         await self.control_peers.stop()
 
-    async def _drain_extension_servers(self) -> None:
-        """Wait for the open requests of added listeners, for at most 2 s in all."""
-        end = asyncio.get_running_loop().time() + STOP_TIMEOUT_S
-        for _, server in self._extension_servers:
-            server.drain()
-            while server.busy and asyncio.get_running_loop().time() < end:
-                await asyncio.sleep(STOP_POLL_INTERVAL_S)
-
     def dump(self) -> dict[str, Any]:
         """Return the state dump, which contains no secrets."""
         now = asyncio.get_running_loop().time()
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -237,15 +237,14 @@
             logging.warning(
                 "drain timeout reached; closing with %d calls running", self.running
             )
-        self.callers.close_idle()
         # The final steps use only what remains of the drain timeout, since a platform
         # kills the process soon after it.
         remaining_s = max(
             MIN_FINAL_STEP_S, drain_ends_at - asyncio.get_running_loop().time()
         )
-        await _wait_until(
-            lambda: not len(self.callers), min(FLUSH_TIMEOUT_S, remaining_s)
-        )
+        flush_timeout_s = min(FLUSH_TIMEOUT_S, remaining_s)
+        servers = (self.callers, self.egress_server, *self._extra_servers)
+        await asyncio.gather(*(server.shut_down(flush_timeout_s) for server in servers))
         remaining_s = max(
             MIN_FINAL_STEP_S, drain_ends_at - asyncio.get_running_loop().time()
         )
--- a/toucanfold/httpapi.py
+++ b/toucanfold/httpapi.py
@@ -11,7 +11,7 @@
 import h11
 from absl import logging
 
-from toucanfold import exceptions, link
+from toucanfold import exceptions, httpserver, link
 
 MAX_BODY_BYTES = 1 << 20
 READ_BYTES = 65536
@@ -88,8 +88,11 @@
             self._server.close()
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
-        while self._open_requests and loop.time() < end:
-            await asyncio.sleep(0.02)
+        grace_ends_at = loop.time() + min(httpserver.SHUTDOWN_GRACE_S, timeout_s)
+        while self._open_requests or (self._tasks and loop.time() < grace_ends_at):
+            if loop.time() >= end:
+                break
+            await asyncio.sleep(httpserver.SHUTDOWN_POLL_INTERVAL_S)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -113,7 +116,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = h11.Connection(h11.SERVER)
-        while not self._stopping:
+        while True:
             try:
                 request = await _read_request(connection, reader)
             except (exceptions.HttpError, h11.RemoteProtocolError) as error:
--- a/toucanfold/httpserver.py
+++ b/toucanfold/httpserver.py
@@ -27,6 +27,10 @@
 # After a refusal the rest of the request is read and discarded for this time: closing
 # with unread data would send a reset, and the caller could lose the refusal.
 LINGER_TIMEOUT_S = 1.0
+# After listening has stopped, connections without a request stay open for this time:
+# a caller may just have sent one.
+SHUTDOWN_GRACE_S = 0.2
+SHUTDOWN_POLL_INTERVAL_S = 0.02
 # Lowest mean rate of a request body after the body timeout has passed.
 MIN_BODY_BYTES_PER_S = 1024
 # Bodies of requests with one of these fields are parsed by h11.
@@ -720,15 +724,32 @@
         """Close each connection after its next response."""
         self.draining = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
+    async def shut_down(self, timeout_s: float) -> None:
+        """Stop listening, respond to the requests of open connections, then stop.
+
+        Requests that are not answered within timeout_s are aborted.
+        """
+        self.drain()
+        self._stop_listening()
+        started_at = self.loop.time()
+        grace_ends_at = started_at + min(SHUTDOWN_GRACE_S, timeout_s)
+        while self._connections and self.loop.time() < started_at + timeout_s:
+            if self.loop.time() >= grace_ends_at:
+                self._close_idle()
+            await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
+        self.stop()
+
+    def _close_idle(self) -> None:
         for connection in list(self._connections):
             connection.close_when_idle()
 
-    def stop(self) -> None:
-        """Stop listening and abort all connections."""
+    def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
+
+    def stop(self) -> None:
+        """Stop listening and abort all connections."""
+        self._stop_listening()
         for connection in list(self._connections):
             if connection._transport is not None:
                 connection._transport.abort()
