Keep one daemon's malformed report from the others' grants and pings

A demand with tokens of -inf raised OverflowError in the grants of its account from then on, and control answered no ping of the batch: every daemon of that instance lost its freshness and with it its callers. NaN or negative rates were granted as such.

Cause: reports of daemons entered the plan of an account unchecked, and the pings of a batch shared one try.

The grantor ignores reports with values that are not finite, or with a negative rate or burst; a ping that raises is logged and stays unanswered, the others are answered.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -227,3 +227,16 @@
         assert (status, value["item"]["rate"]) == (200, 5.0)
 
     scenario(tmp_path, test)
+
+
+def test_ping_that_cannot_be_handled_leaves_the_others_answered(tmp_path):
+    """Guards against one daemon's ping that ends the freshness of all others."""
+
+    async def test(fleet):
+        ping = {"incarnation": 1, "sequence": 1, "applied": 0, "raft_term": 1}
+        pings = [ping | {"daemon": name} for name in ("a", "b")]
+        del pings[0]["daemon"]
+        answered = await fleet.control.leadership.handle("pings", {"pings": pings})
+        assert answered.unwrap()["grants"] == [None, []]
+
+    scenario(tmp_path, test)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -3,6 +3,7 @@
 import copy
 import heapq
 import itertools
+import math
 import random
 
 import fleetsim
@@ -417,3 +418,24 @@
     assert (starvation.starved, starvation.holders) == (1, 3)
     assert starvation.leased_burst == 2.0
     assert "1 of 3 holders" in str(starvation)
+
+
+@pytest.mark.parametrize("field", ["rate", "burst", "tokens"])
+@pytest.mark.parametrize("value", [math.nan, math.inf, -math.inf, -1.0])
+def test_malformed_demand_of_one_daemon_spoils_no_grant(field, value):
+    """Guards against one daemon's report that ends the answers to all pings."""
+    grantor, _ = new_leader({ACCOUNT: (50.0, 50.0)}, daemons="ab")
+    shares = {"a": [], "b": []}
+    for step in range(1, 60):
+        for name in "ab":
+            reported = copy.deepcopy(shares[name])
+            [demand] = demand_for(40.0)
+            if name == "b":
+                setattr(demand, field, value)
+                for share in reported:
+                    setattr(share, field, value)
+            granted = grantor.on_ping(step / 10, name, 1, 1, [demand], reported)
+            shares[name] = granted or shares[name]
+            for share in granted:
+                assert math.isfinite(share.rate) and share.rate >= 0
+    assert shares["a"][0].rate > 0
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -205,20 +205,15 @@
 
     async def _on_pings(self, payload: Payload) -> Reply:
         now = asyncio.get_running_loop().time()
-        # Grants for each ping; None for a stale ping, which is not answered.
+        # Grants for each ping; None for a ping that is not answered.
         grants: list[list[Any] | None] = []
         for ping in payload["pings"]:
-            name, incarnation = ping["daemon"], ping["incarnation"]
-            if not self._failure_detector.on_ping(
-                now, name, incarnation, ping["sequence"], ping["applied"]
-            ):
+            try:
+                grants.append(self._grants_for(now, ping))
+            except Exception:
+                # The pings of other daemons in the batch are answered all the same.
+                logging.exception("a ping could not be handled; it is not answered")
                 grants.append(None)
-                continue
-            if ping.get("announcement"):
-                self._propose_announcement(ping["announcement"])
-            self._record_complete_copies(ping)
-            shares = self._renew_shares(now, ping)
-            grants.append([share_values(share) for share in shares])
         term = self._replica.term
         # Grants are sent only if leadership is confirmed after they were made.
         confirmed = await self._replica.confirm_read()
@@ -230,6 +225,18 @@
             {"revision": self._store.revision, "term": term, "grants": grants}
         )
 
+    def _grants_for(self, now: float, ping: Payload) -> list[Any] | None:
+        """Handle one ping; return the values of its grants, None if it is stale."""
+        name, incarnation = ping["daemon"], ping["incarnation"]
+        if not self._failure_detector.on_ping(
+            now, name, incarnation, ping["sequence"], ping["applied"]
+        ):
+            return None
+        if ping.get("announcement"):
+            self._propose_announcement(ping["announcement"])
+        self._record_complete_copies(ping)
+        return [share_values(share) for share in self._renew_shares(now, ping)]
+
     def _renew_shares(self, now: float, ping: Payload) -> list[messages.Share]:
         if self._grantor is None:
             return []
--- a/toucanfold/leases.py
+++ b/toucanfold/leases.py
@@ -294,8 +294,11 @@
         """Return the renewals and grants that answer a ping.
 
         The answer may be sent only if leadership was confirmed after the ping arrived.
+        Malformed demands and shares are ignored.
         """
         key = daemon, incarnation
+        demands = [demand for demand in demands if _is_well_formed(demand)]
+        shares = [share for share in shares if _is_well_formed(share)]
         self._expire_holders(now)
         if not self._may_hold(now, key) or raft_term != self.raft_term:
             return []
@@ -520,6 +523,12 @@
         return FIRST_GRANT_FRACTION * pool.tokens
 
 
+def _is_well_formed(reported: messages.Demand | messages.Share) -> bool:
+    """Whether the values are finite, and rate and burst not negative."""
+    values = reported.rate, reported.burst, reported.tokens
+    return all(map(math.isfinite, values)) and min(values[:2]) >= 0
+
+
 def _is_significant(
     account: _Account, lease: _Lease, rate: float, burst: float, tokens: float
 ) -> bool:
