Refuse malformed addresses, request targets and deeply nested JSON as such

Found with a test that sends malformed messages to the processes of a fleet:

- a malformed address raised ValueError in the task that keeps a link open, which ended it for good; now it is a failed connect;
- a target like //[ raised in the operators' server, which closed the connection without an answer; now 400;
- JSON of 200,000 brackets raised RecursionError: 500 where the platform asks for 4xx, and an exception for an announcement; now refused as malformed.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,9 +1,10 @@
 import asyncio
 
 import helpers
+import pytest
 from returns import result
 
-from toucanfold import link, messages
+from toucanfold import exceptions, link, messages
 
 SECRET = b"0123456789abcdef"
 
@@ -116,3 +117,14 @@
         assert all(0 < when - loop.time() + 0.1 <= 0.6 for when in times)
 
     helpers.run(check())
+
+
+@pytest.mark.parametrize("address", ["nowhere", "127.0.0.1:99999", ":", "a\x00b:1"])
+def test_malformed_address_is_a_failed_connect(address):
+    """Guards against an exception that ends the task that keeps a link open."""
+
+    async def scenario():
+        connected = await link.connect(address, identity("a"), Recorder())
+        assert isinstance(connected.failure(), exceptions.LinkError)
+
+    helpers.run(scenario())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -132,6 +132,7 @@
     "version not a number": manifest(version=1) | {"version": "soon"},
     "no routes": {"version": "00000001"},
     "not an object": b"[1, 2]",
+    "nested too deeply": b"[" * 200_000,
     "row too short": manifest(routes={"columns": ["name", "host"], "rows": [["r"]]}),
 }
 
@@ -381,7 +382,8 @@
 )
 def test_invalid_announcement_is_rejected(change):
     assert announcements.read("i-1", json.dumps(ANNOUNCEMENT | change).encode()) is None
-    assert announcements.read("i-1", b"\xff") is None
+    for body in (b"\xff", b"[" * 200_000):
+        assert announcements.read("i-1", body) is None
 
 
 def test_announcements_update_the_target_status():
--- a/toucanfold/httpapi.py
+++ b/toucanfold/httpapi.py
@@ -34,7 +34,7 @@
         """Return the body as a JSON object; raises HttpError otherwise."""
         try:
             value = json.loads(self.body or b"{}")
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise exceptions.HttpError(
                 400, "bad_request", f"the body is not JSON: {error}", "send JSON"
             ) from error
@@ -179,7 +179,12 @@
         if len(body) > MAX_BODY_BYTES:
             message = f"the body is longer than {MAX_BODY_BYTES} bytes"
             raise exceptions.HttpError(413, "too_large", message, "send less")
-    split = urllib.parse.urlsplit(head.target.decode("ascii", "replace"))
+    try:
+        split = urllib.parse.urlsplit(head.target.decode("ascii", "replace"))
+    except ValueError as error:
+        raise exceptions.HttpError(
+            400, "bad_request", f"malformed target: {error}", "send a valid path"
+        ) from error
     headers = {
         name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers
     }
--- a/toucanfold/link.py
+++ b/toucanfold/link.py
@@ -280,9 +280,9 @@
     tls: ssl.SSLContext | None = None,
 ) -> result.Result[Link, exceptions.LinkError]:
     """Return a link whose handshake is complete, or a LinkError."""
-    host, port = split_address(address)
     loop = asyncio.get_running_loop()
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
             _, link = await loop.create_connection(
                 lambda: Link(identity, owner, opener=True), host, port, ssl=tls
@@ -290,7 +290,7 @@
             await link.opened
     except exceptions.LinkError as error:
         return result.Failure(error)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         return result.Failure(
             exceptions.LinkError(
                 f"no link to {address}: {error or 'timeout'}",
--- a/toucanfold/platform/announcements.py
+++ b/toucanfold/platform/announcements.py
@@ -85,7 +85,7 @@
             max(0, _integer(info.get("slots", 0))),
             max(0.0, warmup_ms / 1000),
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
 
 
--- a/toucanfold/platform/manifests.py
+++ b/toucanfold/platform/manifests.py
@@ -21,6 +21,14 @@
 _IMPORTANCE_BY_PRIORITY = ("critical", "important", "normal", "background")
 _IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
 _INVALID = "the configuration cannot be read"
+_MALFORMED = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    IndexError,
+    RecursionError,
+)
 
 
 class ManifestHandler:
@@ -88,7 +96,7 @@
         version = int(content["version"], 16)
         base = int(content.get("base_version") or "0", 16)
         entities = _entities(content, fleet_secret, rate_bound)
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+    except _MALFORMED as error:
         return configuration.invalid(f"{_INVALID}: {error!r}")
     except exceptions.ValidationError as error:
         return result.Failure(error)
