Test that a response cut at any byte never looks complete

Operators of similar systems report a 200 with an empty or short body after a target ended within the head of its answer. Here it cannot happen: h11 takes no incomplete head, and the end of a body follows from its length or last chunk.

--- a/tests/test_callpath.py
+++ b/tests/test_callpath.py
@@ -235,6 +235,55 @@
     helpers.run(scenario())
 
 
+CUT_BODIES = {
+    "length": b"Content-Length: 10\r\n\r\n0123456789",
+    "chunked": (
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n"
+    ),
+}
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize("service", ["shop", "parts"])
+@pytest.mark.parametrize("kind", CUT_BODIES)
+def test_response_cut_at_any_byte_never_looks_complete(kind, service, resets):
+    """Guards against a success with an empty or short body, also in the cut head."""
+
+    async def scenario():
+        async def serve_connection(reader, writer):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.split(b"request-id: ")[1].split(b"\r\n")[0]
+                whole = b"HTTP/1.1 200 OK\r\nToucanfold-Request-Id: %s\r\n%s" % (
+                    request_id,
+                    CUT_BODIES[kind],
+                )
+                missing = int(head.split()[1][1:])
+                writer.write(whole[: len(whole) - missing])
+                if missing:
+                    await writer.drain()
+                    await asyncio.sleep(0.001)
+                    if resets:
+                        writer.transport.abort()
+                    writer.close()
+                    return
+
+        state = fleetparts.fleet_state(("shop", "parts"), attempts=0)
+        async with fleetparts.Fleet(state) as fleet:
+            target = await fleet.raw_target(serve_connection)
+            await fleet.daemon("a", "shop", target)
+            await fleet.daemon("b", "parts", target)
+            for missing in range(1, 120):
+                for path, expected in (("/0", 200), (f"/{missing}", 502)):
+                    reply = await fleetparts.fetch(
+                        fleet.address("a"), path=path, service=service
+                    )
+                    assert reply.status == expected
+                    assert expected == 502 or reply.body == b"0123456789"
+
+    helpers.run(scenario())
+
+
 @pytest.mark.parametrize("service", ["shop", "parts"])
 def test_truncated_streamed_response_closes_the_caller_connection(service):
     """Guards against a truncated response that looks complete to the caller."""
