Ignore SIGHUP until a starting process handles it

Cause: SIGHUP has its default effect until the settings reloader is started, after all imports and listeners.

The command line ignores it before it imports a serving command, also on the platform; the settings are read, and then polled, later. The stream of the logs gets a close, whose lack printed a traceback at exit.

test_sighup_during_the_start_ends_no_process fails on both programs without the change.

--- a/tests/test_reloading.py
+++ b/tests/test_reloading.py
@@ -1,9 +1,13 @@
 import asyncio
 import os
+import pathlib
 import signal
+import subprocess
+import sys
 
 import fleetparts
 import helpers
+import pytest
 
 from toucanfold import reloading
 
@@ -41,3 +45,47 @@
         await asyncio.sleep(0.05)
 
     helpers.run(check())
+
+
+@pytest.mark.parametrize("is_platform", [False, True])
+def test_sighup_during_the_start_ends_no_process(tmp_path, is_platform):
+    """Guards against a reload in a series of signals that kills a starting process."""
+    listeners = ("control", "ready_listen", "announce_listen")
+    settings = fleetparts.make_settings(
+        tmp_path,
+        "a",
+        "shop",
+        helpers.free_address(),
+        **{name: helpers.free_address() for name in listeners},
+    )
+    command = [sys.executable, "-m", "toucanfold"]
+    command += ["daemon", f"--settings={settings.file}"]
+    if is_platform:
+        command = [sys.executable, "-m", "toucanfold.platform", "daemon"]
+    process = subprocess.Popen(
+        command,
+        env={**os.environ, "TOUCANFOLD_SETTINGS": settings.file},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        folder = pathlib.Path("/proc", str(process.pid))
+        while True:
+            has_imported = "capnp" in (folder / "maps").read_text()
+            fields = dict(
+                line.split(":\t", 1)
+                for line in (folder / "status").read_text().splitlines()
+            )
+            handled = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+            # The rest of the start follows the import of the codec.
+            if handled & 1 << signal.SIGHUP - 1:
+                break
+            assert not has_imported
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+        while b"serving callers" not in process.stdout.readline():
+            assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(15) == 0
+        assert b"Traceback" not in process.stdout.read()
+    finally:
+        process.kill()
--- a/toucanfold/cmdline.py
+++ b/toucanfold/cmdline.py
@@ -1,12 +1,15 @@
 """Command line: picks a subcommand and runs it."""
 
 import importlib
+import signal
 import sys
-
-from absl import flags
+from typing import TYPE_CHECKING
 
 from toucanfold import exceptions
 
+if TYPE_CHECKING:
+    from absl import flags
+
 USAGE_EXIT_STATUS = 2
 
 # Each subcommand is a function ``main(arguments) -> exit status`` of a module, which
@@ -24,6 +27,9 @@
     "naive": ("toucanfold.naive", "run the naive proxy of the bench"),
     "report": ("toucanfold.report", "make a page from the output of the bench"),
 }
+# Commands that run until a signal stops them and that handle SIGHUP once they have
+# started.
+SERVING_COMMANDS = ("daemon", "control")
 
 
 def usage() -> str:
@@ -35,9 +41,12 @@
 
 
 def parse_flags(
-    values: flags.FlagValues, command: str, arguments: list[str], text: str
+    values: "flags.FlagValues", command: str, arguments: list[str], text: str
 ) -> list[str]:
     """Parse flags and return the other arguments; exits on --help or bad flags."""
+    # Imported here, since it takes most of the time until SIGHUP is ignored.
+    from absl import flags
+
     if "--help" in arguments or "-h" in arguments:
         print(f"usage: toucanfold {command} [--flag=value ...]\n\n{text}\n")
         print(values.get_help())
@@ -49,6 +58,11 @@
         raise SystemExit(USAGE_EXIT_STATUS) from error
 
 
+def ignore_sighup_during_start() -> None:
+    """Ignore SIGHUP, which would end a process that does not handle it yet."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def report_usage_error(message: str, remedy: str) -> int:
     """Print an error and its remedy; return the exit status for wrong usage."""
     print(f"toucanfold: {message}. Remedy: {remedy}.", file=sys.stderr)
@@ -63,6 +77,8 @@
     name, *rest = arguments
     if name not in COMMANDS:
         return report_usage_error(f"unknown command {name!r}", "see toucanfold --help")
+    if name in SERVING_COMMANDS:
+        ignore_sighup_during_start()
     module = importlib.import_module(COMMANDS[name][0])
     try:
         return module.main(rest)
--- a/toucanfold/decisionlog.py
+++ b/toucanfold/decisionlog.py
@@ -83,6 +83,10 @@
         """Write what the reader takes now."""
         self._writer.flush()
 
+    def close(self) -> None:
+        """Write what the reader takes now; the descriptor stays open."""
+        self._writer.flush()
+
 
 class DecisionLog:
     """Decision lines of one process; inputs are the values behind each decision."""
