Record the departure of targets that do not announce themselves

Cause: the directory records departures by the label of an announced instance. Targets without announcements have none, so a restarted daemon knew nothing and offered the target again.

The departure is recorded under the time of the statement; a daemon that restarts within 60 s of it refuses calls until the address has refused a connection and accepts one again, as the former daemon did.

test_restarted_daemon_sends_no_call_to_a_target_that_was_leaving_before fails before (one call ran) and passes now; 166 tests of departures, platform, store and daemon pass.

--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -111,6 +111,37 @@
     helpers.run(scenario())
 
 
+def test_restarted_daemon_sends_no_call_to_a_target_that_was_leaving_before():
+    """Guards against a leaving target without announcements that is used again."""
+
+    async def scenario():
+        async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+            leaving = LeavingTarget()
+            leaving.is_leaving = True
+            address = await fleet.target(leaving)
+            old = await fleet.daemon("a", "shop", address)
+            await call_steadily([fleet.address("a")], 100, 0.1)
+            assert len(leaving.requests) == 1
+            departed = old.target_status.departed
+            old.stop()
+            new = await fleet.daemon("a", "shop", address)
+            fleet.state.targets["a"].departed = departed
+            fleet.source.publish()
+            outcomes = await call_steadily([fleet.address("a")], 100, 0.1)
+            assert (len(leaving.requests), outcomes) == (1, {"not-run": 10})
+            new.target_status.on_restarted()
+            fleet.source.publish()
+            assert new.target_status.accepts_calls
+
+    helpers.run(scenario())
+
+
+def test_old_departure_of_an_unannounced_target_is_ignored():
+    status = targetstatus.TargetStatus()
+    assert not status.on_recorded_departure(100.0, "40000/unannounced")
+    assert status.on_recorded_departure(100.0, "40001/unannounced")
+
+
 def announce(fleet, incarnation, state="up", instance="1000/i-1", departed=""):
     target = model.Target(
         "t", incarnation, "s", "r", "d", "127.0.0.1:1", state, 0, instance, departed
@@ -132,7 +163,7 @@
 
 def test_recorded_departure_outlasts_a_delayed_announcement():
     status = announced_status()
-    assert status.on_recorded_departure("1000/i-1")
+    assert status.on_recorded_departure(5.0, "1000/i-1")
     assert not status.accepts_calls
     late = targetstatus.Announcement("i-1", 1000, 9, True, 8)
     assert not status.on_announcement(1.0, late)
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -5,6 +5,7 @@
 import gc
 import random
 import signal
+import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -359,7 +360,7 @@
 
     def _on_target_leaving(self) -> None:
         self._apply_target_status()
-        if not self.target_status.label:
+        if self.target_status.awaits_restart and self._restart_watch is None:
             self._restart_watch = asyncio.get_running_loop().create_task(
                 self._wait_for_restart()
             )
@@ -367,7 +368,8 @@
     async def _wait_for_restart(self) -> None:
         await restartwatch.wait_for_restart(self._get("target_address"))
         logging.info("the target has restarted")
-        self.target_status.on_restarted(asyncio.get_running_loop().time())
+        self._restart_watch = None
+        self.target_status.on_restarted()
         self._apply_target_status()
 
     def complete_copies(self) -> list[messages.SlotMark]:
@@ -462,9 +464,10 @@
         now = asyncio.get_running_loop().time()
         own_target = state.targets.get(self._identity.name)
         if own_target is not None and self.target_status.on_recorded_departure(
-            own_target.departed
+            time.time(), own_target.departed
         ):
-            self._apply_target_status()
+            logging.info("target %s is recorded as leaving", own_target.departed)
+            self._on_target_leaving()
         self.router.update(now, state)
         self._holder_selector.on_state(state)
         self.owner.on_state(now, state)
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Callable
 
 from absl import logging
@@ -372,7 +373,7 @@
         return passed, kind
 
     def _on_leaving(self, label: str) -> None:
-        if not self._target_status.on_leaving(self._loop.time(), label):
+        if not self._target_status.on_leaving(time.time(), label):
             return
         logging.info("target %s states that it is leaving", label or "(unannounced)")
         self.on_target_status()
--- a/toucanfold/restartwatch.py
+++ b/toucanfold/restartwatch.py
@@ -3,19 +3,19 @@
 import asyncio
 import contextlib
 
-from toucanfold import link
+from toucanfold import link, targetstatus
 
 POLL_INTERVAL_S = 0.5
 CONNECT_TIMEOUT_S = 0.5
-# A target that still accepts connections after this time is used again; its next
-# response tells whether it is still leaving.
-MAX_LEAVING_S = 60.0
 
 
 async def wait_for_restart(address: str) -> None:
-    """Return once the address refused connections and then accepts one again."""
+    """Return once the address refused connections and then accepts one again.
+
+    It returns after MAX_LEAVING_S, too, if the address accepts connections then.
+    """
     loop = asyncio.get_running_loop()
-    gives_up_at = loop.time() + MAX_LEAVING_S
+    gives_up_at = loop.time() + targetstatus.MAX_LEAVING_S
     has_ended = False
     while True:
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -11,6 +11,12 @@
 RETRY_AFTER_MS = 200
 # Number of terminated instances kept, to reject their delayed announcements.
 MAX_TERMINATED_INSTANCES = 64
+# Id in the recorded departure of a target that does not announce itself. Its label
+# holds the time of the statement, since its start is not known.
+UNANNOUNCED = "unannounced"
+# A target that does not announce itself and still accepts connections after this time
+# is used again; its next response tells whether it is still leaving.
+MAX_LEAVING_S = 60.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,6 +50,7 @@
         "_newest",
         "_require_announcement",
         "_terminated",
+        "_unannounced_departure_ms",
     )
 
     def __init__(self, require_announcement: bool = False):
@@ -54,6 +61,8 @@
         # Label of the last of them.
         self._departed = ""
         self._is_unannounced_leaving = False
+        # Unix time (ms) of the newest known departure of an unannounced target.
+        self._unannounced_departure_ms = 0
 
     @property
     def instance(self) -> str:
@@ -88,6 +97,11 @@
             return not (self._require_announcement or self._is_unannounced_leaving)
         return self._newest.is_ready and not self._is_terminated(self._newest)
 
+    @property
+    def awaits_restart(self) -> bool:
+        """Whether a target without announcements is leaving."""
+        return self._is_unannounced_leaving
+
     def on_announcement(self, now: float, announcement: Announcement) -> bool:
         """Apply an announcement; False if it is stale or its instance terminated."""
         if self._newest is not None and announcement.order <= self._newest.order:
@@ -105,35 +119,49 @@
         self._terminate(instance, newest.started_at_ms)
         return True
 
-    def on_leaving(self, now: float, label: str) -> bool:
+    def on_leaving(self, unix_s: float, label: str) -> bool:
         """Apply a response that states that its instance is leaving.
 
         label is that of the instance to which the call was sent, empty if it had not
-        announced itself. Returns False if the status does not change.
+        announced itself; unix_s is the Unix time (s). Returns False if the status does
+        not change.
         """
         if label != self.label or not self.accepts_calls:
             return False
         if self._newest is None:
-            self._is_unannounced_leaving = True
+            self._start_unannounced_departure(int(unix_s * 1000))
         else:
             self._terminate(self._newest.instance, self._newest.started_at_ms)
         return True
 
-    def on_recorded_departure(self, label: str) -> bool:
+    def on_recorded_departure(self, unix_s: float, label: str) -> bool:
         """Apply the departure that the directory of targets has recorded.
 
-        Returns whether the target accepts no calls any more because of it.
+        unix_s is the Unix time (s). Returns whether the target accepts no calls any
+        more because of it.
         """
-        started_at_ms, _, instance = label.partition("/")
+        text, _, instance = label.partition("/")
         if not instance or label == self._departed:
             return False
-        did_accept = self.accepts_calls
-        self._terminate(instance, int(started_at_ms))
+        did_accept, since_ms = self.accepts_calls, int(text)
+        if instance != UNANNOUNCED:
+            self._terminate(instance, since_ms)
+        elif since_ms > max(
+            self._unannounced_departure_ms, (unix_s - MAX_LEAVING_S) * 1000
+        ):
+            self._start_unannounced_departure(since_ms)
         return did_accept and not self.accepts_calls
 
-    def on_restarted(self, now: float) -> None:
+    def on_restarted(self) -> None:
         """Accept calls again for a target without announcements that has restarted."""
         self._is_unannounced_leaving = False
+        # Replaces the recorded departure.
+        self._departed = f"0/{UNANNOUNCED}"
+
+    def _start_unannounced_departure(self, since_ms: int) -> None:
+        self._is_unannounced_leaving = True
+        self._unannounced_departure_ms = since_ms
+        self._departed = f"{since_ms}/{UNANNOUNCED}"
 
     def _terminate(self, instance: str, started_at_ms: int) -> None:
         self._terminated.pop(instance, None)
