--- a/tests/test_statedrate.py
+++ b/tests/test_statedrate.py
@@ -162,3 +162,28 @@
 @pytest.mark.parametrize("text", [b"-1", b"nan", b"inf", b"1e9", b"", b"12,5", b"0x1"])
 def test_malformed_rate_states_nothing(text):
     assert headerformat.parse_rate(text) is None
+
+
+@pytest.mark.parametrize("rates", [(4.0, 40.0), (6.7, 16.3), (4.0, 8.0, 40.0)])
+def test_raised_rate_exceeds_no_window_that_began_at_the_lower_one(rates):
+    """Guards against a burst when a target in need raises the rate that it states."""
+    stated, sent, now = statedrate.StatedRate(), [], 0.0
+    changes = [(index * 3.0, rate) for index, rate in enumerate(rates)]
+    while now < 25.0:
+        while changes and changes[0][0] <= now:
+            stated.on_response(now, now, changes.pop(0)[1])
+        if stated.wait_s(now) <= 0:
+            stated.on_sent(now)
+            sent.append(now)
+        now += 0.005
+    for start in sent:
+        in_window = [
+            rate
+            for index, rate in enumerate(rates)
+            if index * 3.0 < start + WINDOW_S
+            and (index + 1 == len(rates) or (index + 1) * 3.0 > start)
+        ]
+        count = sum(start <= at < start + WINDOW_S for at in sent)
+        assert count <= EXCESS_FACTOR * WINDOW_S * min(in_window) + EXCESS_CALLS
+    recent = sum(at > 21.0 for at in sent)
+    assert recent == pytest.approx(4.0 * rates[-1], rel=0.1)
--- a/toucanfold/statedrate.py
+++ b/toucanfold/statedrate.py
@@ -16,6 +16,9 @@
 INITIAL_BURST_CALLS = 5.0
 # Calls that may be sent at once, in seconds of the stated rate.
 BURST_S = 0.25
+# A raised rate is used up to this multiple of a lower one that was stated within
+# COUNT_WINDOW_S: the target may count the calls of a window by its lowest rate.
+MAX_RAISE_FACTOR = 1.25
 # Lowest rate that is kept to, since only responses tell that a stated rate has ended.
 MIN_RATE_PER_S = 0.5
 # Queueing that counts as capacity of a paced target, in seconds of its rate.
@@ -27,6 +30,7 @@
 
     __slots__ = (
         "_burst",
+        "_former_rates",
         "_has_responded",
         "_pace",
         "_refilled_at",
@@ -44,6 +48,8 @@
         self._pace = INITIAL_RATE_PER_S
         self._burst = self._tokens = INITIAL_BURST_CALLS
         self._refilled_at = math.inf
+        # Rates below the current one, each with the time until which it counts.
+        self._former_rates: list[tuple[float, float]] = []
         self._sent_at: collections.deque[float] = collections.deque()
 
     @property
@@ -89,10 +95,10 @@
         if rate == self.rate:
             return False
         self._refill(now)
+        if self.rate is not None and self.rate < rate:
+            self._former_rates.append((now + COUNT_WINDOW_S, self.rate))
         self.rate = rate
-        self._pace = max(MIN_RATE_PER_S, rate)
-        self._burst = max(1.0, BURST_S * rate)
-        self._tokens = min(self._tokens, self._burst)
+        self._update_pace(now)
         return True
 
     def sent_calls(self, now: float) -> int:
@@ -103,6 +109,7 @@
     def _end(self) -> bool:
         has_changed = self.rate is not None
         self.rate = None
+        self._former_rates.clear()
         self._sent_at.clear()
         return has_changed
 
@@ -110,6 +117,20 @@
         elapsed_s = max(0.0, now - self._refilled_at)
         self._refilled_at = now
         self._tokens = min(self._burst, self._tokens + elapsed_s * self._pace)
+        if self._former_rates:
+            self._update_pace(now)
+
+    def _update_pace(self, now: float) -> None:
+        assert self.rate is not None
+        self._former_rates = [
+            (until, rate)
+            for until, rate in self._former_rates
+            if until > now and rate < self.rate
+        ]
+        former = [MAX_RAISE_FACTOR * rate for _, rate in self._former_rates]
+        self._pace = max(MIN_RATE_PER_S, min([self.rate, *former]))
+        self._burst = max(1.0, BURST_S * self._pace)
+        self._tokens = min(self._tokens, self._burst)
 
     def _expire(self, now: float) -> None:
         while self._sent_at and self._sent_at[0] <= now - COUNT_WINDOW_S:
