Forward requests in pieces in the test of lost responses

Cause: the test's proxy reads a request once, but the client sends head and body separately. Where the head arrives alone, the proxy waits for a response that never comes, and the attempt ends with its 10 s.

The product is unchanged, and the test's assertions stay.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -23,13 +23,20 @@
     return status, json.loads(captured.out) if captured.out else None, captured.err
 
 
+async def forward(reader, writer):
+    while data := await reader.read(65536):
+        writer.write(data)
+
+
 async def response_dropping_proxy(address, lost):
     """Forward requests; drop one response for each item of lost."""
 
     async def serve(reader, writer):
         upstream = await asyncio.open_connection(*link.split_address(address))
-        upstream[1].write(await reader.read(65536))
+        # A request may arrive in pieces.
+        forwarding = asyncio.ensure_future(forward(reader, upstream[1]))
         answer = await upstream[0].read(65536)
+        forwarding.cancel()
         if lost:
             lost.pop()
         else:
