Count replaced processes and unknown daemons before a change is in force

Cause: the leader keeps one ping a name. Once the successor of a process that still runs has pinged, the former one no longer counts, although it may use its last confirmed state for 3 s.

The failure detector keeps the last pings of superseded processes until their states have expired. In the first 3.3 s of a term, or after a stall, a change is in force only once it is 3 s old.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -73,6 +73,21 @@
     scenario(tmp_path, test)
 
 
+def test_change_right_after_an_election_is_not_in_force_at_once(tmp_path):
+    """Guards against keys served by daemons that pinged only the former leader."""
+
+    async def test(fleet):
+        _, value = await fleet.put(
+            "profiles", "operation-1", 0, **helpers.plain_profile("p")
+        )
+        path = f"/v1/revisions/{value['revision']}?wait_ms="
+        _, at_once = await fleet.fetch("GET", f"{path}0")
+        _, awaited = await fleet.fetch("GET", f"{path}5000")
+        assert (at_once["in_force"], awaited["in_force"]) == (False, True)
+
+    scenario(tmp_path, test)
+
+
 def test_laggard_is_named_until_its_freshness_expired(tmp_path):
     """Guards against reporting "in force" while a daemon uses a stale one."""
 
--- a/tests/test_failuredetector.py
+++ b/tests/test_failuredetector.py
@@ -103,6 +103,26 @@
     assert laggards(detector, 1.6, state, 6) == []
 
 
+def test_change_is_not_in_force_while_a_replaced_process_may_use_an_older_state():
+    """Guards against withdrawn keys served by a process that has a successor."""
+    state, detector = fleet(1), failuredetector.FailureDetector()
+    detector.on_elected(0.0)
+    state.targets["t0"].incarnation = 2
+    detector.on_ping(1.0, "t0", 1, 1, 5)
+    detector.on_ping(1.5, "t0", 2, 1, 6)
+    assert not detector.on_ping(2.0, "t0", 1, 2, 6)
+    assert laggards(detector, 4.0, state, 6) == ["t0"]
+    assert laggards(detector, 4.0, state, 5) == []
+    assert laggards(detector, 4.4, state, 6) == []
+
+
+def test_new_leader_has_heard_all_daemons_once_states_of_an_earlier_term_expired():
+    detector = failuredetector.FailureDetector()
+    detector.on_elected(10.0)
+    assert not detector.has_heard_all(13.0)
+    assert detector.has_heard_all(13.4)
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
--- a/toucanfold/failuredetector.py
+++ b/toucanfold/failuredetector.py
@@ -40,10 +40,19 @@
 class FailureDetector:
     """Decides which targets the leader marks lost; its state is valid for one term."""
 
-    __slots__ = ("_checked_at", "_last_pings", "_loss_times", "_monitored_since")
+    __slots__ = (
+        "_checked_at",
+        "_last_pings",
+        "_loss_times",
+        "_monitored_since",
+        "_superseded",
+    )
 
     def __init__(self) -> None:
         self._last_pings: dict[str, LastPing] = {}
+        # Last pings of incarnations with a successor, oldest first: their processes may
+        # still run. Their pings are not answered any more, so their states expire.
+        self._superseded: collections.deque[tuple[str, LastPing]] = collections.deque()
         self._loss_times: dict[str, collections.deque[float]] = {}
         self._monitored_since = 0.0
         self._checked_at = 0.0
@@ -51,6 +60,7 @@
     def on_elected(self, now: float) -> None:
         """Start a term: every daemon gets the full timeout to ping."""
         self._last_pings.clear()
+        self._superseded.clear()
         self._loss_times.clear()
         self._monitored_since = now
         self._checked_at = now
@@ -79,6 +89,9 @@
             )
         if is_stale:
             return False
+        if last_ping is not None and last_ping.incarnation != incarnation:
+            self._superseded.append((name, last_ping))
+            self._expire_superseded(now)
         self._last_pings[name] = LastPing(incarnation, sequence, applied_revision, now)
         return True
 
@@ -102,7 +115,8 @@
         """Return the daemons that may still use a state before a revision.
 
         These are the alive ones that have not confirmed it in this term, and those with
-        a recent ping whose incarnation is not in the directory yet.
+        a recent ping whose incarnation is not in the directory yet or not any more.
+        Daemons that pinged only an earlier leader are unknown; see has_heard_all.
         """
         found = {
             target.name: Laggard(
@@ -112,7 +126,8 @@
             if target.state in model.ALIVE_STATES
             and self.applied_revision(target) < revision
         }
-        for name, last_ping in self._last_pings.items():
+        self._expire_superseded(now)
+        for name, last_ping in (*self._superseded, *self._last_pings.items()):
             silence_s = now - last_ping.at
             is_behind = last_ping.applied_revision < revision
             if not is_behind or silence_s > FAILURE_TIMEOUT_S:
@@ -121,6 +136,10 @@
                 found[name] = Laggard(name, last_ping.applied_revision, silence_s)
         return [found[name] for name in sorted(found)]
 
+    def has_heard_all(self, now: float) -> bool:
+        """Whether each daemon with a fresh state has pinged since monitoring began."""
+        return now - self._monitored_since > FAILURE_TIMEOUT_S
+
     def applied_revision(self, target: model.Target) -> int:
         """Return the revision the target's daemon confirmed in this term, else 0."""
         last_ping = self._last_ping_of(target)
@@ -139,9 +158,17 @@
             return None
         return last_ping
 
+    def _expire_superseded(self, now: float) -> None:
+        self._superseded = collections.deque(
+            (name, last_ping)
+            for name, last_ping in self._superseded
+            if now - last_ping.at <= FAILURE_TIMEOUT_S
+        )
+
     def _restart_timeouts(self, now: float) -> None:
         self._monitored_since = now
-        for last_ping in self._last_pings.values():
+        superseded = (last_ping for _, last_ping in self._superseded)
+        for last_ping in (*superseded, *self._last_pings.values()):
             last_ping.at = now
 
     def _lost_of_service(
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -182,11 +182,12 @@
     def _in_force(self, now: float, revision: int) -> Payload:
         accepted = revision <= self._store.revision
         laggards = self._failure_detector.laggards(now, self._store.state, revision)
+        confirmed = not laggards and self._failure_detector.has_heard_all(now)
         expired = now - self._applied_since(revision) >= STATE_EXPIRY_S
         return {
             "revision": revision,
             "accepted": accepted,
-            "in_force": accepted and (not laggards or expired),
+            "in_force": accepted and (confirmed or expired),
             "laggards": [
                 {
                     "name": laggard.name,
