--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -39,6 +39,29 @@
     return clock.run(asyncio.wait_for(coroutine, timeout_s))
 
 
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop without sockets whose time passes only while all tasks wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now = 0.0
+        self._selector.select = self._advance
+
+    def time(self) -> float:
+        return self._now
+
+    def _advance(self, timeout: float | None = None) -> list[Any]:
+        assert timeout is not None, "all tasks wait for nothing"
+        self._now += timeout
+        return []
+
+
+def run_in_virtual_time(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine whose schedule does not depend on the machine's speed."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(coroutine)
+
+
 def free_address() -> str:
     """Return a free address on 127.0.0.1, the host in the tests' certificates.
 
--- a/toucanfold/owner.py
+++ b/toucanfold/owner.py
@@ -75,7 +75,8 @@
             int, tuple[slotstates.DaemonKey, asyncio.Future[messages.IntentAck]]
         ] = {}
         self._outboxes: dict[str, collections.deque[messages.Message]] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        # Ordered, so that tests repeat the same history.
+        self._tasks: dict[asyncio.Task[Any], None] = {}
         self._syncing: set[tuple[records.SlotKey, int]] = set()
         self._sync_semaphore = asyncio.Semaphore(MAX_CONCURRENT_SYNCS)
         self._buffered_bytes = 0
@@ -374,8 +375,8 @@
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(self._tasks.pop)
         return task
 
 
