End with status 0 on SIGTERM during the start

Cause, by reading: SIGTERM had its default effect until the handlers were set, in control only after the stored state had been read, whose duration depends on the disk.

Both programs handle SIGTERM before they import, and control also before it reads its state. tests/test_reloading.py: 8 cases of a SIGTERM during the start fail on the code before; 20 tests of signals, stops and control processes pass now.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -428,7 +428,10 @@
         status = await process.wait(DRAIN_TIMEOUT_S + 3.0)
         took_s = loop.time() - started_at
         if status != 0:
-            self.violate("planned stop", f"{name} status {status} after {took_s:.1f} s")
+            self.violate(
+                "planned stop",
+                f"{name} status {status} after {took_s:.1f} s: {process.log_tail()}",
+            )
             process.kill()
         await self._restart(name, loop.time())
 
--- a/tests/test_reloading.py
+++ b/tests/test_reloading.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import fleetparts
 import helpers
@@ -47,9 +48,8 @@
     helpers.run(check())
 
 
-@pytest.mark.parametrize("is_platform", [False, True])
-def test_sighup_during_the_start_ends_no_process(tmp_path, is_platform):
-    """Guards against a reload in a series of signals that kills a starting process."""
+def start_daemon(tmp_path, is_platform):
+    """Start a daemon whose control does not exist, on one of both interfaces."""
     listeners = ("control", "ready_listen", "announce_listen")
     settings = fleetparts.make_settings(
         tmp_path,
@@ -62,24 +62,35 @@
     command += ["daemon", f"--settings={settings.file}"]
     if is_platform:
         command = [sys.executable, "-m", "toucanfold.platform", "daemon"]
-    process = subprocess.Popen(
+    return subprocess.Popen(
         command,
         env={**os.environ, "TOUCANFOLD_SETTINGS": settings.file},
         stdout=subprocess.PIPE,
     )
+
+
+def wait_until_handled(process, number):
+    """Wait until a signal is handled or ignored, before the rest of the start."""
+    folder = pathlib.Path("/proc", str(process.pid))
+    while True:
+        has_imported = "capnp" in (folder / "maps").read_text()
+        fields = dict(
+            line.split(":\t", 1)
+            for line in (folder / "status").read_text().splitlines()
+        )
+        handled = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+        if handled & 1 << number - 1:
+            break
+        # The rest of the start follows the import of the codec.
+        assert not has_imported
+
+
+@pytest.mark.parametrize("is_platform", [False, True])
+def test_sighup_during_the_start_ends_no_process(tmp_path, is_platform):
+    """Guards against a reload in a series of signals that kills a starting process."""
+    process = start_daemon(tmp_path, is_platform)
     try:
-        folder = pathlib.Path("/proc", str(process.pid))
-        while True:
-            has_imported = "capnp" in (folder / "maps").read_text()
-            fields = dict(
-                line.split(":\t", 1)
-                for line in (folder / "status").read_text().splitlines()
-            )
-            handled = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
-            # The rest of the start follows the import of the codec.
-            if handled & 1 << signal.SIGHUP - 1:
-                break
-            assert not has_imported
+        wait_until_handled(process, signal.SIGHUP)
         for _ in range(20):
             process.send_signal(signal.SIGHUP)
         while b"serving callers" not in process.stdout.readline():
@@ -89,3 +100,19 @@
         assert b"Traceback" not in process.stdout.read()
     finally:
         process.kill()
+
+
+@pytest.mark.parametrize("is_platform", [False, True])
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.2, 0.4])
+def test_planned_stop_during_the_start_ends_with_status_0(
+    tmp_path, is_platform, delay_s
+):
+    process = start_daemon(tmp_path, is_platform)
+    try:
+        wait_until_handled(process, signal.SIGTERM)
+        time.sleep(delay_s)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(15) == 0
+        assert b"Traceback" not in process.stdout.read()
+    finally:
+        process.kill()
--- a/toucanfold/cmdline.py
+++ b/toucanfold/cmdline.py
@@ -8,6 +8,8 @@
 from toucanfold import exceptions
 
 if TYPE_CHECKING:
+    import types
+
     from absl import flags
 
 USAGE_EXIT_STATUS = 2
@@ -27,8 +29,8 @@
     "naive": ("toucanfold.naive", "run the naive proxy of the bench"),
     "report": ("toucanfold.report", "make a page from the output of the bench"),
 }
-# Commands that run until a signal stops them and that handle SIGHUP once they have
-# started.
+# Commands that run until a signal stops them, and that handle signals themselves once
+# they have started.
 SERVING_COMMANDS = ("daemon", "control")
 
 
@@ -44,7 +46,7 @@
     values: "flags.FlagValues", command: str, arguments: list[str], text: str
 ) -> list[str]:
     """Parse flags and return the other arguments; exits on --help or bad flags."""
-    # Imported here, since it takes most of the time until SIGHUP is ignored.
+    # Imported here, since it takes most of the time until signals are handled.
     from absl import flags
 
     if "--help" in arguments or "-h" in arguments:
@@ -58,9 +60,14 @@
         raise SystemExit(USAGE_EXIT_STATUS) from error
 
 
-def ignore_sighup_during_start() -> None:
-    """Ignore SIGHUP, which would end a process that does not handle it yet."""
+def handle_signals_during_start() -> None:
+    """Ignore SIGHUP, and end with status 0 on SIGTERM, until the process serves."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _exit_on_signal)
+
+
+def _exit_on_signal(number: int, frame: "types.FrameType | None") -> None:
+    raise SystemExit(0)
 
 
 def report_usage_error(message: str, remedy: str) -> int:
@@ -78,7 +85,7 @@
     if name not in COMMANDS:
         return report_usage_error(f"unknown command {name!r}", "see toucanfold --help")
     if name in SERVING_COMMANDS:
-        ignore_sighup_during_start()
+        handle_signals_during_start()
     module = importlib.import_module(COMMANDS[name][0])
     try:
         return module.main(rest)
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -358,16 +358,17 @@
 
     extend returns listeners to add, for interfaces outside this module.
     """
+    # Before the stored state is read, which may take long.
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
     secret = _value_or_raise(config.read_secret(settings))
     operators = _value_or_raise(credentials.read(settings.get("control", "admin_file")))
     contexts = _value_or_raise(tls.load(settings))
     control = Control(settings, secret, operators, contexts, make_replica(settings))
     for listener in extend(control) if extend else ():
         control.add(listener)
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
     try:
         await control.start()
     except OSError as error:
--- a/toucanfold/platform/__main__.py
+++ b/toucanfold/platform/__main__.py
@@ -27,7 +27,7 @@
             f"wrong arguments or no {SETTINGS_VARIABLE}",
             f"set the variable and name a program: {names}",
         )
-    cmdline.ignore_sighup_during_start()
+    cmdline.handle_signals_during_start()
     program = importlib.import_module(PROGRAMS[arguments[0]])
     try:
         return program.run(path)
