Keep to the idle timeout that a target states

A target that closes idle connections sooner than after 4 s says so in Keep-Alive, which was not read, so requests could cross its close; one that may not be repeated then ends with an unknown outcome.

A connection is used until 0.5 s before the stated timeout, at most for 4 s. Its own time also replaces the assumption that the connection which is idle for longest ends first.

test_connection_is_not_used_shortly_before_its_target_closes_it: 2 of 4 cases fail before; 152 tests of client, copies, call path, endless answers and dispatch pass now.

--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -2,6 +2,7 @@
 
 import fleetparts
 import helpers
+import pytest
 from returns import result
 
 from toucanfold import httpclient, link
@@ -149,3 +150,30 @@
         assert len(pool) == 1
 
     with_target(serve_connection, check)
+
+
+@pytest.mark.parametrize(
+    ("stated", "connections"),
+    [(b"timeout=1", 2), (b"max=9, Timeout = 1", 2), (b"timeout=2", 1), (b"1", 1)],
+)
+def test_connection_is_not_used_shortly_before_its_target_closes_it(
+    stated, connections
+):
+    """Guards against requests that cross the close of an idle connection."""
+    opened = []
+
+    async def serve_connection(reader, writer):
+        opened.append(writer)
+        while await reader.readuntil(b"\r\n\r\n"):
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: "
+            writer.write(head + stated + b"\r\n\r\n")
+
+    async def check(pool):
+        assert isinstance(await exchange(pool), result.Success)
+        await asyncio.sleep(0.7)
+        pool.close_idle(asyncio.get_running_loop().time())
+        assert pool.idle == 2 - connections
+        assert isinstance(await exchange(pool), result.Success)
+        assert len(opened) == connections
+
+    with_target(serve_connection, check)
--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -3,19 +3,32 @@
 import asyncio
 import collections
 import dataclasses
+import re
 from collections.abc import AsyncIterator, Callable
 from typing import Any, cast
 
 import h11
 from returns import result
 
-from toucanfold import bodies, calls, eventturns, exceptions, httpwriter, link
+from toucanfold import (
+    bodies,
+    calls,
+    eventturns,
+    exceptions,
+    headers,
+    httpwriter,
+    link,
+)
 
 CONNECT_TIMEOUT_S = 2.0
 # Shorter than the keep-alive timeout of common servers (5 s), so that a request is
 # rarely sent on a connection that the target is about to close.
 IDLE_TIMEOUT_S = 4.0
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+# Time by which a connection is closed before the timeout that its target states, so
+# that no request crosses the target's close.
+KEEP_ALIVE_MARGIN_S = 0.5
+_KEEP_ALIVE_PATTERN = re.compile(rb"(?:^|[ ,])timeout *= *([0-9]{1,9})", re.IGNORECASE)
 # Most informational (1xx) responses before the response of one exchange.
 MAX_INFORMATIONAL_RESPONSES = 16
 # Most responses to earlier requests that are skipped in one exchange.
@@ -61,6 +74,7 @@
         "_has_unprocessed_events",
         "_http",
         "_identity",
+        "_idle_timeout_s",
         "_informational_responses",
         "_is_head_request",
         "_is_parser_prepared",
@@ -73,7 +87,7 @@
         "_stream",
         "_transport",
         "_waiter",
-        "idle_since",
+        "idle_until",
     )
 
     def __init__(self, pool: "Pool"):
@@ -97,7 +111,9 @@
         self._is_skipping = False
         self._skipped_responses = 0
         self._may_be_reused = True
-        self.idle_since = 0.0
+        self._idle_timeout_s = IDLE_TIMEOUT_S
+        # Time (s of the loop) from which the idle connection is not used again.
+        self.idle_until = 0.0
 
     @property
     def is_open(self) -> bool:
@@ -329,6 +345,7 @@
             self._skip_response()
             return
         self._response = TargetResponse(event.status_code, list(event.headers))
+        self._idle_timeout_s = _idle_timeout_s(self._response.headers)
         if self._is_head_request or event.status_code in (204, 304):
             return
         length, chunked = None, False
@@ -451,6 +468,7 @@
         self._is_parser_prepared = False
         self._http = _IDLE_PARSER
         self._loop.call_soon(self._prepare_parser_if_idle)
+        self.idle_until = self._loop.time() + self._idle_timeout_s
         self._pool.release(self)
 
     def _close_after_exchange(self) -> None:
@@ -492,6 +510,14 @@
 _IDLE_PARSER = _new_parser()
 
 
+def _idle_timeout_s(fields: calls.Headers) -> float:
+    """Return how long (s) a connection may stay idle after a response."""
+    stated = _KEEP_ALIVE_PATTERN.search(headers.find(fields, b"keep-alive") or b"")
+    if stated is None:
+        return IDLE_TIMEOUT_S
+    return min(IDLE_TIMEOUT_S, int(stated[1]) - KEEP_ALIVE_MARGIN_S)
+
+
 class Pool:
     """Up to limit connections to one target; the most recent one is reused first."""
 
@@ -547,7 +573,6 @@
 
     def release(self, connection: Connection) -> None:
         """Make a connection idle after a complete exchange."""
-        connection.idle_since = asyncio.get_running_loop().time()
         self._idle.append(connection)
         self._wake_waiter()
 
@@ -559,10 +584,10 @@
                 self._idle.remove(connection)
             self._wake_waiter()
 
-    def close_idle(self, now: float, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
-        """Close the connections that have been idle for the timeout or longer."""
-        while self._idle and now - self._idle[0].idle_since >= idle_timeout_s:
-            self._idle[0].abort()
+    def close_idle(self, now: float) -> None:
+        """Close the connections that have been idle for their timeout or longer."""
+        for connection in [each for each in self._idle if now >= each.idle_until]:
+            connection.abort()
 
     def close(self) -> None:
         """Close all connections."""
@@ -575,12 +600,11 @@
         A connection that has carried an exchange with this id is closed instead.
         """
         now = asyncio.get_running_loop().time()
-        self.close_idle(now)
         while self._idle:
             connection = self._idle.pop()
             if not connection.is_open:
                 continue
-            if not connection.has_carried(exchange_id):
+            if now < connection.idle_until and not connection.has_carried(exchange_id):
                 return connection
             connection.abort()
         return None
