Leave empty labels out of announcements in the log

Seen by reading the diff: a control instance of an earlier build that applies the announcement of a target raises on fields it does not know, at each start again. The new labels of targets were written for every announcement, so the first new leader of a rolling upgrade would have stopped the instances not yet upgraded.

Not run with both builds.

test_announcement_without_labels_has_no_field_that_earlier_builds_refuse fails with the labels written as before (departed and target_instance too many); 45 tests of store, control and departures pass.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,7 +2,7 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from toucanfold import commands, model, store
+from toucanfold import commands, messages, model, store, watchers
 
 NAMES = strategies.sampled_from(["a", "b"])
 OPERATIONS = strategies.integers(0, 12).map("operation-{}".format)
@@ -251,3 +251,9 @@
     assert fleet.apply(1, data)["kind"] == "invalid"
     assert fleet.revision == 0
     assert apply(fleet, target())["ok"]
+
+
+def test_announcement_without_labels_has_no_field_that_earlier_builds_refuse():
+    announcement = messages.Announcement("t", 1, "s", "r", "d", "127.0.0.1:1")
+    fields = "data_centre incarnation link_address name region service state"
+    assert sorted(watchers.announced_fields(announcement)) == fields.split()
--- a/toucanfold/failuredetector.py
+++ b/toucanfold/failuredetector.py
@@ -50,9 +50,9 @@
 
     def __init__(self) -> None:
         self._last_pings: dict[str, LastPing] = {}
-        # Last pings of incarnations with a successor, oldest first: their processes may
-        # still run. Their pings are not answered any more, so their states expire.
-        self._superseded: collections.deque[tuple[str, LastPing]] = collections.deque()
+        # Last pings of incarnations with a successor: their processes may still run.
+        # Their pings are not answered any more, so their states expire.
+        self._superseded: list[tuple[str, LastPing]] = []
         self._loss_times: dict[str, collections.deque[float]] = {}
         self._monitored_since = 0.0
         self._checked_at = 0.0
@@ -159,11 +159,11 @@
         return last_ping
 
     def _expire_superseded(self, now: float) -> None:
-        self._superseded = collections.deque(
+        self._superseded = [
             (name, last_ping)
             for name, last_ping in self._superseded
             if now - last_ping.at <= FAILURE_TIMEOUT_S
-        )
+        ]
 
     def _restart_timeouts(self, now: float) -> None:
         self._monitored_since = now
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -25,12 +25,23 @@
 ANNOUNCEMENT_FIELDS = tuple(
     field.name for field in dataclasses.fields(messages.Announcement)
 )
+LABELS = ("target_instance", "departed")
 announcement_values = operator.attrgetter(*ANNOUNCEMENT_FIELDS)
 demand_values = operator.attrgetter(
     *(field.name for field in dataclasses.fields(messages.Demand))
 )
 
 
+def announced_fields(announcement: messages.Announcement) -> dict[str, Any]:
+    """Return an announcement as the target of a command.
+
+    Empty labels are left out: members of an earlier build refuse fields that they do
+    not know, and apply the same command while control is upgraded.
+    """
+    values = zip(ANNOUNCEMENT_FIELDS, announcement_values(announcement), strict=True)
+    return {field: value for field, value in values if value or field not in LABELS}
+
+
 @dataclasses.dataclass(slots=True)
 class Session:
     """The link of one daemon, with the revision of its last ping and its ping count."""
@@ -169,8 +180,7 @@
         if own == (session.name, session.incarnation) and not self._is_applied(
             announcement
         ):
-            values = announcement_values(announcement)
-            packed["announcement"] = dict(zip(ANNOUNCEMENT_FIELDS, values, strict=True))
+            packed["announcement"] = announced_fields(announcement)
         return packed
 
     def _is_applied(self, announcement: messages.Announcement) -> bool:
