Return the attempt of a hedge without a target after a free retry

Cause: refund looks at whether the last retry was free, which taking an attempt for a hedge did not reset.

test_hedge_without_a_target_gets_its_attempt_back_after_a_free_retry has 1 attempt left and 1 spent before, 2 and 0 now; 25 tests of retries and forwarding pass.

--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -166,3 +166,15 @@
         assert outcome is calls.Outcome.NOT_RUN or idempotent
         rerouted += allowance.spent == before
         assert rerouted <= retries.FREE_REROUTES
+
+
+def test_hedge_without_a_target_gets_its_attempt_back_after_a_free_retry():
+    now, asked = time.monotonic(), call(service="s", attempts_left=2)
+    allowance, budgets = retries.Allowance(2), retries.RetryBudgets()
+    refused = calls.refuse(calls.RefusalKind.OVERLOADED, "", calls.Outcome.NOT_RUN)
+    refused.undispatched = True
+    assert allowance.may_retry(now, asked, refused, budgets)
+    assert allowance.left == 2
+    assert allowance.take(now, asked, budgets)
+    allowance.refund(asked, budgets)
+    assert (allowance.left, allowance.spent) == (2, 0)
--- a/toucanfold/retries.py
+++ b/toucanfold/retries.py
@@ -137,6 +137,7 @@
 
     def take(self, now: float, call: calls.Call, budgets: RetryBudgets) -> bool:
         """Take an attempt and a token; False if either is missing."""
+        self._last_was_free = False
         if self.left < 1 or not budgets.take(now, call.service):
             return False
         self.left -= 1
