Report levels of routes apart from those of accounts

Cause: an entry kept the level of a route that depends on an overloaded service for each route and account, for 1 s. At 24 entries an account has about two calls a second of a route, so nearly all levels had decayed before the next call. Class: the same as of the shares of small accounts, something learnt for each of many parties that each has too little to learn from.

The fraction of a route is the same for all accounts, so answers report it apart (routeReduction, 0 from earlier builds means none) and entries keep it for each route and rank, for 3 s.

--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -1,7 +1,10 @@
 """Simulates an overloaded downstream service and requests of two ranks."""
 
+import collections
 import random
 
+import pytest
+
 from toucanfold import calls, dependencies, pressure
 
 RANK_PAID, RANK_VIEW = 0, 2
@@ -100,6 +103,49 @@
     assert guarded.wasted < naive.wasted / 3
 
 
+def overloaded_fleet(entries, accounts, targets, per_s, seconds):
+    """Count requests that run and fail, and those offered, while each call is refused.
+
+    Requests of many accounts enter at many daemons and take 0.2 s at many targets.
+    """
+    rng = random.Random(1)
+    levels = [pressure.EntryLevels() for _ in range(entries)]
+    daemons = [dependencies.DependencyTracker() for _ in range(targets)]
+    running, offered, wasted = collections.deque(), 0, 0
+    while running or offered < per_s * seconds:
+        now = offered / per_s
+        while running and (running[0][0] <= now or offered >= per_s * seconds):
+            due, entry, target, call = running.popleft()
+            refused = calls.refuse(calls.RefusalKind.OVERLOADED, "at capacity")
+            daemons[target].on_downstream_answer(due, refused)
+            daemons[target].on_target_answer(due, call.route, 500)
+            route_level = daemons[target].level(due, call)
+            levels[entry].on_answer(
+                due, call, calls.Answer(500, route_level=route_level)
+            )
+        call = request(RANK_VIEW, str(offered))
+        call.account = f"a{rng.randrange(accounts)}"
+        call.priority = calls.priority_of(call.root_id)
+        entry = rng.randrange(entries)
+        offered += 1
+        if levels[entry].admits(now, call, rng):
+            wasted += 1
+            running.append((now + 0.2, entry, rng.randrange(targets), call))
+    return wasted, offered
+
+
+@pytest.mark.parametrize(
+    ("entries", "accounts", "targets", "per_s"),
+    [(1, 1, 1, 60), (24, 8, 6, 330), (90, 80, 30, 900)],
+)
+def test_requests_of_small_accounts_do_not_all_run_and_fail(
+    entries, accounts, targets, per_s
+):
+    """Guards against levels without effect for accounts with few calls at an entry."""
+    wasted, offered = overloaded_fleet(entries, accounts, targets, per_s, 10.0)
+    assert wasted < offered / 2
+
+
 def test_all_requests_are_admitted_again_after_the_overload():
     mesh = ServiceMesh({RANK_VIEW: dependencies.DependencyTracker()})
     mesh.run({RANK_VIEW: 30}, 100)
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -150,9 +150,14 @@
 
     @property
     def pressure_key(self) -> str:
-        """Key of the pressure levels reported in answers: the route and the account."""
+        """Key of the levels reported in answers: the route and the account."""
         return f"{self.route}\0{self.account}"
 
+    @property
+    def route_pressure_key(self) -> str:
+        """Key of the route levels reported in answers: the route and the rank."""
+        return f"{self.route}\0{self.rank}"
+
     @property
     def is_recorded(self) -> bool:
         """Whether the owner of a slot records the call and answers its resends."""
@@ -166,8 +171,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Answer:
-    """A target's response, or a refusal, with the answering daemon's level and limit.
+    """A target's response, or a refusal, with the answering daemon's levels and limit.
 
+    level counts for the call's route and account, route_level for its route and rank.
     body_stream is None when body holds the complete body. undispatched is set when the
     call left the queue of the target's daemon without being sent to the target.
     departing is the label of the answering instance if it stated that it is leaving.
@@ -181,6 +187,7 @@
     attempts_spent: int = 0
     retried: bool = False
     level: int = MAX_LEVEL
+    route_level: int = MAX_LEVEL
     limit: int = 0
     in_flight: int = 0
     target_seconds: float = 0.0
@@ -188,6 +195,11 @@
     departing: str = ""
     body_stream: AsyncIterator[bytes] | None = None
 
+    @property
+    def lowest_level(self) -> int:
+        """The lower one of the reported levels."""
+        return min(self.level, self.route_level)
+
     @classmethod
     def refused(cls, refusal: Refusal) -> "Answer":
         """Return the answer that carries a refusal."""
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -446,7 +446,7 @@
             self.forwarder,
             self.metrics,
             self.rng,
-            levels=pressure.DownstreamLevels(),
+            levels=pressure.EntryLevels(),
             rate=self._rate,
             budgets=self.budgets,
             serve_open_when_stale=self._get("serve_open_when_stale"),
--- a/toucanfold/dependencies.py
+++ b/toucanfold/dependencies.py
@@ -15,14 +15,16 @@
 # Fraction of the target's calls refused for overload, and of a route's requests failed,
 # above which a window counts as overloaded. A few fail by chance at any time.
 TOLERATED_FAILURE_FRACTION = 0.05
-# With fewer requests in a window the failed fraction is not meaningful.
+# With fewer requests the failed fraction is not meaningful: they are counted over
+# several windows, but for no longer than the time without evidence below.
 MIN_REQUESTS = 4
+MAX_COUNTING_S = 2.0
 # Time after a reduction until its effect shows: requests admitted earlier have ended.
 SETTLE_S = 0.6
 # A reduction follows the failed fraction, but goes no lower than this factor.
 MIN_REDUCTION_FACTOR = 0.5
 # Fraction of the route's calls admitted again with each window without overload.
-RECOVERY_FRACTION = 0.04
+RECOVERY_FRACTION = 0.08
 # Fraction that is always admitted, so that the end of the overload is noticed.
 MIN_ADMITTED_FRACTION = 0.05
 
@@ -37,13 +39,19 @@
 
 @dataclasses.dataclass(slots=True)
 class _Route:
-    """Requests of one route in this window, and the fraction of calls to admit."""
+    """Requests of one route since it was last judged, and the fraction to admit."""
 
     runs: int = 0
     failed: int = 0
+    counted_since: float = float("-inf")
     admitted_fraction: float = 1.0
     settled_at: float = float("-inf")
 
+    def restart_counting(self, now: float) -> None:
+        """Forget the requests counted so far."""
+        self.runs = self.failed = 0
+        self.counted_since = now
+
 
 class DependencyTracker:
     """Tracks which routes depend on an overloaded downstream service."""
@@ -98,11 +106,14 @@
             self._overload_failures
             > TOLERATED_FAILURE_FRACTION * self._downstream_calls
         )
+        has_evidence = self._downstream_calls > 0
         for name, route in list(self._routes.items()):
-            _adjust_admission(now, route, is_overloaded)
             if not route.runs and route.admitted_fraction >= 1.0:
                 del self._routes[name]
-            route.runs = route.failed = 0
+            elif is_overloaded:
+                _reduce_admission(now, route)
+            else:
+                _restore_admission(now, route, has_evidence)
         self._downstream_calls = self._overload_failures = 0
 
 
@@ -114,16 +125,24 @@
     """
     if answer.refusal is not None:
         return answer.refusal.kind in _OVERLOAD_KINDS
-    return answer.status >= 500 and answer.level < calls.MAX_LEVEL
+    return answer.status >= 500 and answer.lowest_level < calls.MAX_LEVEL
+
+
+def _restore_admission(now: float, route: _Route, has_evidence: bool) -> None:
+    """Admit more after a window without overload; one without calls is no evidence."""
+    route.admitted_fraction = min(1.0, route.admitted_fraction + RECOVERY_FRACTION)
+    if has_evidence or now - route.counted_since > MAX_COUNTING_S:
+        route.restart_counting(now)
 
 
-def _adjust_admission(now: float, route: _Route, is_overloaded: bool) -> None:
-    if not is_overloaded:
-        route.admitted_fraction = min(1.0, route.admitted_fraction + RECOVERY_FRACTION)
+def _reduce_admission(now: float, route: _Route) -> None:
+    if now < route.settled_at:
+        route.restart_counting(now)
         return
-    if route.runs < MIN_REQUESTS or now < route.settled_at:
+    if route.runs < MIN_REQUESTS:
         return
     failed = route.failed / route.runs
+    route.restart_counting(now)
     if failed > TOLERATED_FAILURE_FRACTION:
         route.admitted_fraction = max(
             MIN_ADMITTED_FRACTION,
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -477,14 +477,12 @@
     def _add_load_report(
         self, call: calls.Call, answer: calls.Answer, token: calls.CallToken | None
     ) -> calls.Answer:
-        """Add the level, limit and load that every answer reports to its caller."""
+        """Add the levels, limit and load that every answer reports to its caller."""
         now = self._loop.time()
-        local_level = min(
-            self._queue.level_of(call.account), self._downstream.level(now, call)
-        )
         answer.level = self._downstream_levels.combined(
-            now, call.pressure_key, local_level
+            now, call.pressure_key, self._queue.level_of(call.account)
         )
+        answer.route_level = self._downstream.level(now, call)
         answer.attempts_spent = 0 if token is None else token.attempts_spent
         answer.limit = self.limit
         answer.in_flight = self.active + len(self._queue)
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -72,7 +72,7 @@
         forwarder: linkcalls.CallRunner,
         measured: metrics.Metrics,
         rng: random.Random,
-        levels: pressure.DownstreamLevels | None = None,
+        levels: pressure.EntryLevels | None = None,
         rate: interfaces.RateLimiter | None = None,
         budgets: retries.RetryBudgets | None = None,
         serve_open_when_stale: bool = False,
@@ -92,7 +92,7 @@
         self._header_format = header_format or headerformat.NativeHeaderFormat()
         self._service = service
         self._log = decision_log or decisionlog.NullDecisionLog()
-        self._levels = levels or pressure.DownstreamLevels()
+        self._levels = levels or pressure.EntryLevels()
         self._rate = rate or interfaces.NoRateLimiter()
         self._budgets = budgets or retries.RetryBudgets()
         self._resends = resends.Resends()
@@ -224,9 +224,8 @@
     ) -> calls.Answer:
         """Run a call unless pressure, retry budget or rate refuse it."""
         account, attempt = admitted.account, admitted.attempt
-        key = call.pressure_key
         now = self._loop.time()
-        if not self._levels.admits(now, key, call.level, self._rng):
+        if not self._levels.admits(now, call, self._rng):
             bodies.cancel(call.body_stream)
             return calls.refuse(
                 calls.RefusalKind.OVERLOADED,
@@ -268,7 +267,7 @@
             # refused instead.
             self._downstream.on_downstream_answer(now, answer)
         else:
-            self._levels.on_answer(now, key, answer.level)
+            self._levels.on_answer(now, call, answer)
         return answer
 
     def _to_call(
--- a/toucanfold/linkcalls.py
+++ b/toucanfold/linkcalls.py
@@ -443,6 +443,7 @@
         target_us=int(answer.target_seconds * 1e6),
         undispatched=answer.undispatched,
         departing=answer.departing,
+        route_reduction=calls.MAX_LEVEL - answer.route_level,
     )
 
 
@@ -471,4 +472,5 @@
         target_seconds=message.target_us / 1e6,
         undispatched=message.undispatched,
         departing=message.departing,
+        route_level=max(0, calls.MAX_LEVEL - message.route_reduction),
     )
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -84,6 +84,7 @@
   targetUs @14 :UInt64;
   undispatched @15 :Bool;
   departing @16 :Text;
+  routeReduction @17 :UInt16;
 }
 
 struct Body {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -102,7 +102,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Answer(Message):
-    """The answer or refusal of a call; kind is empty for a target's response."""
+    """The answer or refusal of a call; kind is empty for a target's response.
+
+    route_reduction is by how much the level of the route is below the highest.
+    """
 
     TAG = "answer"
     id: int = 0
@@ -122,6 +125,7 @@
     target_us: int = 0
     undispatched: bool = False
     departing: str = ""
+    route_reduction: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/pressure.py
+++ b/toucanfold/pressure.py
@@ -10,6 +10,8 @@
 PROBE_FRACTION = 0.01
 # Time in which a reported level increases to the highest one without a new report.
 DECAY_S = 1.0
+# The same for the levels of routes; the daemons that report them restore them slowly.
+ROUTE_DECAY_S = 3.0
 # Weight of an answer's level against the current one. It is below 1 since the targets
 # of one service report different levels.
 UPDATE_WEIGHT = 0.4
@@ -192,13 +194,14 @@
 class DownstreamLevels:
     """Thresholds of called services, as reported in answers, by key.
 
-    A key names a route and an account. Without a new report a level increases
-    to the highest within DECAY_S.
+    A key names a route and an account, or a route and a rank. Without a new report a
+    level increases to the highest within decay_s.
     """
 
-    __slots__ = ("_levels",)
+    __slots__ = ("_decay_s", "_levels")
 
-    def __init__(self) -> None:
+    def __init__(self, decay_s: float = DECAY_S) -> None:
+        self._decay_s = decay_s
         self._levels: dict[str, _ReportedLevel] = {}
 
     def on_answer(self, now: float, key: str, level: int) -> None:
@@ -230,12 +233,37 @@
         reported = self._levels.get(key)
         if reported is None:
             return float(calls.MAX_LEVEL)
-        elapsed_fraction = min(1.0, max(0.0, now - reported.at) / DECAY_S)
+        elapsed_fraction = min(1.0, max(0.0, now - reported.at) / self._decay_s)
         return reported.level + (calls.MAX_LEVEL - reported.level) * elapsed_fraction
 
     def _remove_expired(self, now: float) -> None:
         self._levels = {
             key: reported
             for key, reported in self._levels.items()
-            if now - reported.at < DECAY_S
+            if now - reported.at < self._decay_s
         }
+
+
+class EntryLevels:
+    """Levels reported in answers by which an entry refuses callers' requests.
+
+    Those of routes do not depend on the account: at each of many entries an account
+    has too few calls to learn a level before it has decayed.
+    """
+
+    __slots__ = ("_by_account", "_by_rank")
+
+    def __init__(self) -> None:
+        self._by_account = DownstreamLevels()
+        self._by_rank = DownstreamLevels(ROUTE_DECAY_S)
+
+    def admits(self, now: float, call: calls.Call, rng: random.Random) -> bool:
+        """Return whether a call may be sent."""
+        return self._by_account.admits(
+            now, call.pressure_key, call.level, rng
+        ) and self._by_rank.admits(now, call.route_pressure_key, call.level, rng)
+
+    def on_answer(self, now: float, call: calls.Call, answer: calls.Answer) -> None:
+        """Record the levels that the answer of a call reported."""
+        self._by_account.on_answer(now, call.pressure_key, answer.level)
+        self._by_rank.on_answer(now, call.route_pressure_key, answer.route_level)
