Confirm all reads that wait with one round at a time

Cause: each batch of pings (one each 50 ms from each of five instances) needs a confirmation of leadership, and each began a round of messages to all others at once, about 100 rounds/s. A round confirms all reads requested before it, so the next one now starts when the last is confirmed, or after a heartbeat interval if it is lost. A read still needs a round that begins after it was requested.

Ruled out: longer batches of pings, which delay each grant by up to their length.

test_reads_requested_during_a_round_share_the_next_one and test_lost_round_delays_reads_by_no_more_than_a_heartbeat_interval fail before the change; the third new test guards the order of reads and rounds. 76 tests of consensus, replica and control pass.

--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -316,6 +316,60 @@
     assert leader_state.quorum_commit_index(1) == 3
 
 
+class ReadingLeader:
+    """A leader of three members; the replies of the others are made by hand."""
+
+    def __init__(self):
+        membership = members.Membership(members.Member(name, name) for name in NAMES)
+        self.log = raftlog.RaftLog(raftlog.Snapshot(1, 1, membership, b""), [])
+        self.state = replication.LeaderState("a/a", 4, self.log, 0.0)
+        self.send(0.0)
+
+    def send(self, now):
+        """Return the read sequences of the messages due."""
+        return {item.read_sequence for item in self.state.due_messages(now, 1)}
+
+    def reply(self, now, read_sequence):
+        reply = messages.Raft(sender="b/b", granted=True, read_sequence=read_sequence)
+        self.state.on_append_reply(now, reply)
+
+
+def test_reads_requested_during_a_round_share_the_next_one():
+    """Guards against a round of messages for each read, most of which are paid for."""
+    leader = ReadingLeader()
+    leader.state.request_read(1)
+    assert leader.send(0.01) == {1}
+    for number in range(20):
+        leader.state.request_read(1)
+        assert leader.send(0.011 + number / 1000) == set()
+    leader.reply(0.035, 1)
+    assert [number for number, _ in leader.state.take_confirmed_reads()] == [1]
+    assert leader.send(0.035) == {21}
+    leader.reply(0.06, 21)
+    assert len(leader.state.take_confirmed_reads()) == 20
+    assert leader.send(0.06) == set()
+
+
+def test_reply_to_an_earlier_round_confirms_no_later_read():
+    """Guards against a read that a leader already deposed would answer."""
+    leader = ReadingLeader()
+    leader.state.request_read(1)
+    leader.send(0.01)
+    leader.state.request_read(1)
+    leader.send(0.02)
+    leader.reply(0.03, 1)
+    assert [number for number, _ in leader.state.take_confirmed_reads()] == [1]
+
+
+def test_lost_round_delays_reads_by_no_more_than_a_heartbeat_interval():
+    leader = ReadingLeader()
+    leader.state.request_read(1)
+    leader.send(0.01)
+    leader.state.request_read(1)
+    assert leader.send(0.02) == set()
+    assert leader.send(0.011 + rafttypes.HEARTBEAT_INTERVAL_S) == {2}
+
+
 def test_member_votes_once_per_term_over_a_restart():
     """A vote lost in a restart would allow two leaders in one term."""
     fleet = simulation.Fleet(7)
--- a/toucanfold/replication.py
+++ b/toucanfold/replication.py
@@ -82,6 +82,7 @@
         "_key",
         "_log",
         "_progress",
+        "_read_round_started_at",
         "_reads",
         "_sent_read_sequence",
         "_term",
@@ -98,6 +99,7 @@
         self._progress: dict[str, _Progress] = {}
         self._reads: list[tuple[int, int]] = []
         self._sent_read_sequence = 0
+        self._read_round_started_at = now
         self._transfer_deadline = 0.0
         self.read_sequence = 0
         self.transfer_to = ""
@@ -114,8 +116,10 @@
 
     def due_messages(self, now: float, commit: int) -> list[messages.Raft]:
         """Return the messages due: entries, heartbeats, commits and read rounds."""
-        starts_read_round = self.read_sequence > self._sent_read_sequence
-        self._sent_read_sequence = self.read_sequence
+        starts_read_round = self._is_read_round_due(now)
+        if starts_read_round:
+            self._sent_read_sequence = self.read_sequence
+            self._read_round_started_at = now
         out: list[messages.Raft] = []
         for key in sorted(self._progress):
             peer = self._progress[key]
@@ -210,19 +214,37 @@
 
     def take_confirmed_reads(self) -> list[tuple[int, int]]:
         """Return (sequence, index) of reads that a quorum has confirmed."""
-        voters = self._log.membership.voters
+        if not self._reads:
+            return []
+        confirmed = self._confirmed_read_sequence()
+        done = [read for read in self._reads if read[0] <= confirmed]
+        self._reads = self._reads[len(done) :]
+        return done
+
+    def _is_read_round_due(self, now: float) -> bool:
+        """Whether reads wait for a round, and none is under way.
+
+        A round confirms all reads requested before it. Its messages may be lost, so it
+        is not waited for longer than a heartbeat interval.
+        """
+        if self.read_sequence == self._sent_read_sequence:
+            return False
+        if self._confirmed_read_sequence() >= self._sent_read_sequence:
+            return True
+        return now >= self._read_round_started_at + HEARTBEAT_INTERVAL_S
+
+    def _confirmed_read_sequence(self) -> int:
+        """Return the highest read sequence that a quorum has confirmed."""
+        membership = self._log.membership
         acked = [
             self._sent_read_sequence
             if key == self._key
             else self._progress[key].acked_read_sequence
-            for key in voters
+            for key in membership.voters
         ]
-        if not self._reads or not acked:
-            return []
-        confirmed = sorted(acked, reverse=True)[self._log.membership.quorum - 1]
-        done = [read for read in self._reads if read[0] <= confirmed]
-        self._reads = self._reads[len(done) :]
-        return done
+        if not acked:
+            return 0
+        return sorted(acked, reverse=True)[membership.quorum - 1]
 
     def start_transfer(self, now: float, rng: random.Random) -> bool:
         """Choose the most advanced reachable voter as leader; False without one."""
