Keep the log readable and hand leadership over while a disk is full

Cause: an append that a full disk tore was followed by a truncation that a full disk may refuse as well. The next records were then written behind the torn one, and each later start of the process ended with a corrupt log. A segment file whose creation could not be synced, and a temporary file whose rename was refused, had the same effect. A leader whose disk was full kept the lead, and a transfer waited for the leader's own disk, so all changes were refused as long as its disk was full.

Change: a segment remembers that it may end in torn bytes and is truncated before the next write; unsynced directory changes are synced before it; leftover temporary files are removed. A leader whose disk is full hands the lead over once a reachable voter has stored more than it has; a transfer waits for the chosen voter only.

Ruled out: that proposals stay refused once there is room.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -34,6 +34,9 @@
         self.directory_changes = []
         self.crash_in = None
         self.is_full = False
+        # Whether a full disk also refuses truncations, renames and directory syncs, and
+        # writes a part of what is appended.
+        self.refuses_all_when_full = False
 
     def names(self):
         return sorted(self.folder)
@@ -42,17 +45,21 @@
         return self.folder[name].data
 
     def append(self, name, data):
-        if self.is_full:
+        if self.is_full and not self.refuses_all_when_full:
             raise exceptions.DiskFullError("no space", "free some")
         if name not in self.folder:
             self._put_file(name, FakeFile())
         file = self.folder[name]
+        if self.is_full and data:
+            file.data += data[: len(data) // 2]
+            raise exceptions.DiskFullError("no space", "free some")
         if self._crash_is_due():
             file.data += data[: self.rng.randint(0, len(data))]
             raise Crash
         file.data += data
 
     def truncate(self, name, size):
+        self._refuse_if_full()
         self._count_operation()
         self.folder[name].data = self.folder[name].data[:size]
 
@@ -61,6 +68,7 @@
         self.folder[name].synced = self.folder[name].data
 
     def rename(self, old, new):
+        self._refuse_if_full()
         self._count_operation()
         file = self.folder[old]
         self.folder = {name: item for name, item in self.folder.items() if name != old}
@@ -72,6 +80,7 @@
         self.directory_changes.append(self.folder)
 
     def sync_directory(self):
+        self._refuse_if_full()
         self._count_operation()
         self.synced_directory = self.folder
         self.directory_changes.clear()
@@ -107,6 +116,10 @@
         self.crash_in -= 1
         return self.crash_in < 0
 
+    def _refuse_if_full(self):
+        if self.is_full and self.refuses_all_when_full:
+            raise exceptions.DiskFullError("no space", "free some")
+
     def _count_operation(self):
         if self._crash_is_due():
             raise Crash
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,6 +1,7 @@
 """Replicas over real files and an in-process network."""
 
 import asyncio
+import itertools
 import time
 
 import fleet
@@ -158,6 +159,113 @@
     helpers.run(scenario())
 
 
+async def propose_anywhere(group, data, timeout_s):
+    """Propose at whichever member leads; return the seconds until it is committed."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    async with asyncio.timeout(timeout_s):
+        while True:
+            for node in list(group.nodes.values()):
+                if node.replica.is_leader:
+                    proposed = await node.replica.propose(data)
+                    if proposed.value_or(None) is not None:
+                        return loop.time() - started_at
+            await asyncio.sleep(0.02)
+
+
+# Time within which operators expect a change to be answered.
+ACK_TIMEOUT_S = 4.0
+
+
+def full_files(node):
+    """Replace the files of a member by ones that can refuse all writes."""
+    wrapped = FillableFiles(node.files)
+    node.files = node.store._files = wrapped
+    return wrapped
+
+
+class FillableFiles:
+    """Files of a disk that is full for some time and then has room again."""
+
+    def __init__(self, inner):
+        self._inner = inner
+        self.is_full = False
+
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
+    def append(self, name, data):
+        if self.is_full:
+            self._inner.append(name, data[: len(data) // 2])
+            raise exceptions.DiskFullError("no space", "free some")
+        self._inner.append(name, data)
+
+    def truncate(self, name, size):
+        if self.is_full:
+            raise exceptions.DiskFullError("no space", "free some")
+        self._inner.truncate(name, size)
+
+
+def test_leader_with_a_full_disk_hands_over(tmp_path):
+    """Guards against changes that are refused while only the leader's disk is full."""
+
+    async def scenario():
+        group = fleet.Fleet(tmp_path, ["a", "b", "c"])
+        group.start_all()
+        leader = await group.leader()
+        disk = full_files(leader)
+        disk.is_full = True
+        assert await propose_anywhere(group, b"x", 10.0) <= ACK_TIMEOUT_S
+        assert not leader.replica.is_leader
+        disk.is_full = False
+        await fleet.until(lambda: "x" in dict(leader.machine.items).values())
+        await group.stop_all()
+
+    helpers.run(scenario(), 40)
+
+
+def test_changes_are_committed_after_disks_were_full_in_turn(tmp_path):
+    """Guards against changes that are refused long after all disks have room again."""
+
+    async def play(order, root):
+        group = fleet.Fleet(root, ["a", "b", "c"], entries=25)
+        group.start_all()
+        await group.leader()
+        disks = {name: full_files(node) for name, node in group.nodes.items()}
+        for name in order:
+            disks[name].is_full = True
+            ends_at = asyncio.get_running_loop().time() + 0.8
+            while asyncio.get_running_loop().time() < ends_at:
+                for node in group.nodes.values():
+                    if node.replica.is_leader:
+                        for _ in range(10):
+                            asyncio.ensure_future(node.replica.propose(b"x"))
+                await asyncio.sleep(0.1)
+            disks[name].is_full = False
+        assert await propose_anywhere(group, b"last", 10.0) <= ACK_TIMEOUT_S
+        nodes = list(group.nodes.values())
+        await fleet.until(
+            lambda: all(node.machine.items[-1][1] == "last" for node in nodes)
+        )
+        assert len({str(node.machine.items) for node in nodes}) == 1
+        await group.stop_all()
+        for name in order:
+            group.start(name)
+        again = await group.leader()
+        assert again.machine.items[-1][1] == "last"
+        await group.stop_all()
+
+    async def scenario():
+        await asyncio.gather(
+            *(
+                play(order, tmp_path / "".join(order))
+                for order in itertools.permutations("abc")
+            )
+        )
+
+    helpers.run(scenario(), 55)
+
+
 def test_slow_disk_sync_does_not_block_the_event_loop(tmp_path):
     """A slow disk must not stop heartbeats, reads and ticks."""
     append_now = storage.RaftStorage.append
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -143,6 +143,63 @@
     assert open_storage(folder).entries == [*before, entry(7, 2)]
 
 
+def fill(folder, call, **options):
+    """Make a call on a full disk that refuses every kind of write."""
+    folder.refuses_all_when_full = folder.is_full = True
+    with pytest.raises(exceptions.DiskFullError):
+        call()
+    folder.is_full = False
+
+
+@pytest.mark.parametrize("retries", [1, 2])
+def test_append_after_a_torn_one_on_a_full_disk_is_readable(retries):
+    """Guards against records behind a torn one, which end each later start."""
+    folder = populated_files()
+    store = open_storage(folder)
+    before = open_storage(folder).entries
+    for _ in range(retries):
+        fill(folder, lambda: store.append([entry(7, 2)]))
+    store.append([entry(7, 3)])
+    assert open_storage(folder).entries == [*before, entry(7, 3)]
+
+
+def test_entries_replaced_on_a_full_disk_are_readable():
+    """Guards against a log whose truncation was refused halfway."""
+    folder = populated_files()
+    store = open_storage(folder)
+    first, *_ = open_storage(folder).entries[-2:]
+    fill(folder, lambda: store.append([entry(first.index, 3)]))
+    store.append([entry(first.index, 3)])
+    assert open_storage(folder).entries[-1] == entry(first.index, 3)
+
+
+def test_segment_left_by_a_full_disk_does_not_end_the_next_start():
+    """Guards against a log file without entries that a start takes for a gap."""
+    folder = populated_files()
+    store = open_storage(folder)
+    fill(folder, lambda: store._add_segment(store._segments[-1].last + 1))
+    first, *_ = open_storage(folder).entries[-2:]
+    store.append([entry(first.index, 3)])
+    assert open_storage(folder).entries[-1] == entry(first.index, 3)
+
+
+def test_vote_after_a_rename_that_a_full_disk_refused_is_readable():
+    """Guards against a term and vote behind the remains of an earlier one."""
+    folder = populated_files()
+    store = open_storage(folder)
+    rename_now = folder.rename
+
+    def refuse(old, new):
+        raise exceptions.DiskFullError("no space", "free some")
+
+    folder.rename = refuse
+    with pytest.raises(exceptions.DiskFullError):
+        store.save_vote(8, "a")
+    folder.rename = rename_now
+    store.save_vote(9, "b")
+    assert open_storage(folder).meta.term == 9
+
+
 steps = st.lists(
     st.one_of(
         st.tuples(st.just("append"), st.integers(1, 30), st.integers(1, 4)),
--- a/toucanfold/raft.py
+++ b/toucanfold/raft.py
@@ -271,6 +271,13 @@
             now, self._rng
         )
 
+    def hand_over(self, now: float) -> bool:
+        """Transfer leadership if another voter could store what this one cannot."""
+        state = self._leader_state
+        if state is None or state.transfer_to or not state.has_voter_ahead(now):
+            return False
+        return self.transfer_leadership(now)
+
     def compact(self, snapshot: raftlog.Snapshot, keep_entries: int) -> None:
         """Adopt a stored snapshot of this member's state."""
         if snapshot.index > self.log.snapshot.index:
--- a/toucanfold/replica.py
+++ b/toucanfold/replica.py
@@ -334,6 +334,10 @@
         self._store_retry_at = now + DISK_RETRY_DELAY_S
         if ready is not None:
             self._raft.on_store_failed(ready)
+        if self._raft.hand_over(now):
+            logging.info("member %s hands the leadership over", self.name)
+            self._fail_proposals(self._raft.not_leader())
+            return
         self._fail_proposals(error)
 
     def _check_leadership(self) -> None:
--- a/toucanfold/replication.py
+++ b/toucanfold/replication.py
@@ -246,6 +246,11 @@
             return 0
         return sorted(acked, reverse=True)[membership.quorum - 1]
 
+    def has_voter_ahead(self, now: float) -> bool:
+        """Whether a reachable voter has stored entries that this member has not."""
+        voters = self._log.membership.voters & self.reachable(now) - {self._key}
+        return any(self._progress[key].match > self._log.stable_index for key in voters)
+
     def start_transfer(self, now: float, rng: random.Random) -> bool:
         """Choose the most advanced reachable voter as leader; False without one."""
         voters = self._log.membership.voters & self.reachable(now)
@@ -265,9 +270,7 @@
         peer = self._progress.get(self.transfer_to)
         if peer is None or now > self._transfer_deadline:
             self.transfer_to = ""
-        elif (
-            peer.match == self._log.last_index and self._log.stable_index == peer.match
-        ):
+        elif peer.match == self._log.last_index:
             return self._message(Kind.TIMEOUT_NOW, self.transfer_to)
         return None
 
--- a/toucanfold/storage.py
+++ b/toucanfold/storage.py
@@ -47,13 +47,15 @@
 
 
 class _Segment:
-    __slots__ = ("first", "name", "record_ends")
+    __slots__ = ("first", "is_torn", "name", "record_ends")
 
     def __init__(self, first: int, record_ends: list[int]):
         self.first = first
         self.name = log_name(first)
         # End offset of each record, so that the segment can be truncated at a conflict.
         self.record_ends = record_ends
+        # Whether the file may hold bytes behind the last record.
+        self.is_torn = False
 
     @property
     def last(self) -> int:
@@ -113,7 +115,14 @@
     be repeated. Calls may come from any thread, one at a time.
     """
 
-    __slots__ = ("_files", "_segments", "entries", "meta", "snapshot")
+    __slots__ = (
+        "_files",
+        "_is_directory_synced",
+        "_segments",
+        "entries",
+        "meta",
+        "snapshot",
+    )
 
     def __init__(
         self,
@@ -123,6 +132,7 @@
         new_id: Callable[[], str] = new_member_id,
     ):
         self._files = folder
+        self._is_directory_synced = True
         self._segments: list[_Segment] = []
         self.snapshot = raftlog.EMPTY_SNAPSHOT
         self.entries: list[messages.Entry] = []
@@ -150,18 +160,33 @@
             self._add_segment(first)
         segment = self._segments[-1]
         assert first == segment.last + 1
+        self._sync_directory()
+        self._remove_torn_end(segment)
         size = segment.size
         records = [encode_record(entry) for entry in entries]
+        segment.is_torn = True
         try:
             self._files.append(segment.name, b"".join(records))
             self._files.sync(segment.name)
         except exceptions.DiskFullError:
-            self._files.truncate(segment.name, size)
+            # If this fails too, the next call repeats it before it writes.
+            self._remove_torn_end(segment)
             raise
+        segment.is_torn = False
         for record in records:
             size += len(record)
             segment.record_ends.append(size)
 
+    def _remove_torn_end(self, segment: _Segment) -> None:
+        if segment.is_torn:
+            self._files.truncate(segment.name, segment.size)
+            segment.is_torn = False
+
+    def _sync_directory(self) -> None:
+        if not self._is_directory_synced:
+            self._files.sync_directory()
+            self._is_directory_synced = True
+
     def save_snapshot(self, snapshot: raftlog.Snapshot, keep_entries: int) -> None:
         """Store this member's snapshot; remove segments older than keep_entries."""
         previous = self.snapshot
@@ -219,6 +244,9 @@
 
     def _replace(self, name: str, content: bytes) -> None:
         temporary = name + TEMPORARY_SUFFIX
+        if temporary in self._files.names():
+            # Left by a rename that a full disk refused.
+            self._files.remove(temporary)
         try:
             self._files.append(temporary, content)
             self._files.sync(temporary)
@@ -346,23 +374,28 @@
     def _add_segment(self, first: int) -> None:
         segment = _Segment(first, [])
         self._files.append(segment.name, b"")
-        self._files.sync_directory()
         self._segments.append(segment)
+        self._is_directory_synced = False
+        self._sync_directory()
 
     def _truncate_log(self, first: int) -> None:
         """Remove the stored entries from an index on, the newest files first."""
         while len(self._segments) > 1 and self._segments[-1].first >= first:
-            self._files.remove(self._segments.pop().name)
-            self._files.sync_directory()
+            self._files.remove(self._segments[-1].name)
+            self._segments.pop()
+            self._is_directory_synced = False
+            self._sync_directory()
         segment = self._segments[-1]
         del segment.record_ends[max(0, first - segment.first) :]
-        self._files.truncate(segment.name, segment.size)
+        segment.is_torn = True
+        self._remove_torn_end(segment)
 
     def _remove_log(self) -> None:
         # Newest first: a log left by a crash ends before the snapshot, so that the next
         # start recognizes it as superseded.
         while self._segments:
-            self._files.remove(self._segments.pop().name)
+            self._files.remove(self._segments[-1].name)
+            self._segments.pop()
 
     def _corruption_error(
         self, name: str, offset: int, message: str
