Accept no request in a planned stop that the stop would cut

Cause: a daemon accepts callers' requests for drain_serve seconds after SIGTERM, with their whole time, and closes all connections at the end of drain_timeout. A request with more time than that, one that waited in a queue, or one whose body arrived after the acceptance had ended, was passed on and then cut.

Change: requests accepted during a stop get no more time than the stop has, and are refused as not run if their route usually takes longer; a request whose body ends after the acceptance is refused; calls end two final steps before drain_timeout; grace_period sets the length of the stop.

--- a/toucanfold/config.py
+++ b/toucanfold/config.py
@@ -167,6 +167,17 @@
         minimum=1,
         maximum=3600,
     ),
+    Option(
+        "daemon",
+        "grace_period",
+        "float",
+        "Time from SIGTERM until a platform kills the process. A planned stop ends"
+        " 0.5 s earlier, whatever drain_timeout says; 0 if nothing kills it.",
+        "0",
+        "s",
+        minimum=0,
+        maximum=3600,
+    ),
     Option(
         "daemon",
         "drain_serve",
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -70,6 +70,9 @@
 # Collections of the youngest generation scan only new objects. Long pauses come from
 # the oldest generation, so it is collected rarely; objects that exist at the start are
 # frozen and not scanned.
+FINAL_STEPS = 2
+# Time between the end of a planned stop and the end of the platform's grace period.
+GRACE_PERIOD_MARGIN_S = 0.5
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
@@ -222,7 +225,7 @@
         """
         logging.info("draining")
         self._draining = True
-        timeout_s = self._get("drain_timeout")
+        timeout_s = self._drain_timeout_s()
         serve_s = min(self._get("drain_serve"), timeout_s)
         drain_ends_at = asyncio.get_running_loop().time() + timeout_s
         self.peers.drain()
@@ -231,7 +234,7 @@
         await asyncio.sleep(serve_s)
         self.entry.stopping = True
         await asyncio.sleep(min(DRAIN_GRACE_S, timeout_s - serve_s))
-        timeout_s = max(0.0, drain_ends_at - asyncio.get_running_loop().time())
+        timeout_s = max(0.0, calls_end_at - asyncio.get_running_loop().time())
         await asyncio.wait({announcing}, timeout=timeout_s)
         announcing.cancel()
         if not await _wait_until(self._is_empty, timeout_s):
@@ -243,7 +246,11 @@
         remaining_s = max(
             MIN_FINAL_STEP_S, drain_ends_at - asyncio.get_running_loop().time()
         )
-        flush_timeout_s = min(FLUSH_TIMEOUT_S, remaining_s)
+        flush_timeout_s = min(
+            FLUSH_TIMEOUT_S, max(MIN_FINAL_STEP_S, remaining_s - MIN_FINAL_STEP_S)
+        )
+        calls_end_at = drain_ends_at - FINAL_STEPS * MIN_FINAL_STEP_S
+        self.entry.calls_end_at = calls_end_at
         servers = (self.callers, self.egress_server, *self._extra_servers)
         await asyncio.gather(*(server.shut_down(flush_timeout_s) for server in servers))
         remaining_s = max(
@@ -253,6 +260,7 @@
         logging.info("drained")
 
     def stop(self) -> None:
+        timeout_s = max(0.0, calls_end_at - asyncio.get_running_loop().time())
         """Close all listeners and connections at once."""
         servers = (self.callers, self.egress_server, self.debug_server)
         for server in (*servers, *self._extra_servers):
@@ -271,6 +279,12 @@
                 "name": self._identity.name,
                 "service": self.service,
                 "incarnation": self._identity.incarnation,
+    def _drain_timeout_s(self) -> float:
+        grace_s = self._get("grace_period")
+        if grace_s:
+            return max(DRAIN_GRACE_S, grace_s - GRACE_PERIOD_MARGIN_S)
+        return self._get("drain_timeout")
+
                 "stopping": self.entry.stopping,
             },
             "fleet": {
@@ -495,6 +509,7 @@
             self._plugin_settings = plugins
             self.dispatcher.replace(*dispatch.create_plugins(profile))
 
+            usual_time_s=self.sender.usual_time_s,
     def _report(self) -> None:
         """Send the counters and gauges to statsd."""
         self.metrics.gauge("running", self.running)
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from toucanfold import (
     bodies,
@@ -80,10 +81,14 @@
         service: str = "",
         decision_log: decisionlog.DecisionLog | None = None,
         downstream: dependencies.DependencyTracker | None = None,
+        usual_time_s: Callable[[str], float | None] | None = None,
     ):
+        self._usual_time_s = usual_time_s
         self._downstream = downstream or dependencies.DependencyTracker()
         self.running = 0
         self.stopping = False
+        # Time at which a planned stop cuts the calls that still run.
+        self.calls_end_at = float("inf")
         self._source = source
         self._state_index = interfaces.StateIndex(source, fleet_secret)
         self._forwarder = forwarder
@@ -145,9 +150,7 @@
         self, request: httpserver.Request, head: headerformat.RequestHead
     ) -> AdmittedRequest | calls.Refusal:
         if self.stopping:
-            return calls.Refusal(
-                calls.RefusalKind.STOPPING, message="this daemon is stopping"
-            )
+            return _stopping()
         path = request.path.partition("?")[0]
         route_and_profile = self._state_index.route(
             head.host, head.service, request.method, path
@@ -172,9 +175,20 @@
         return (
             self._check_key(head, admitted)
             or _check_timeout_and_idempotency_key(request, head, admitted)
+            or self._check_stop(admitted)
             or admitted
         )
 
+    def _check_stop(self, admitted: AdmittedRequest) -> calls.Refusal | None:
+        """Limit the time of a request to that of a planned stop, if it is enough."""
+        if admitted.deadline <= self.calls_end_at:
+            return None
+        admitted.deadline = self.calls_end_at
+        usual_s = self._usual_time_s(admitted.route.name) if self._usual_time_s else 0
+        if self._loop.time() + (usual_s or 0.0) > self.calls_end_at:
+            return _stopping()
+        return None
+
     def _refuse_unrouted(self, host_or_service: str) -> calls.Refusal:
         if not self._source.is_fresh(self._loop.time()):
             return calls.Refusal(
@@ -212,6 +226,10 @@
     async def _run(
         self, request: httpserver.Request, admitted: AdmittedRequest
     ) -> calls.Answer:
+        if self.stopping:
+            # The stop went on while the body arrived.
+            bodies.cancel(request.body_stream)
+            return calls.Answer.refused(_stopping())
         if headers.has_key(request.body):
             return calls.refuse(calls.RefusalKind.BAD_REQUEST, "the body holds a key")
         call = self._to_call(request, admitted)
@@ -337,6 +355,10 @@
     return None if stream is None else keyguard.KeyFilter(stream)
 
 
+def _stopping() -> calls.Refusal:
+    return calls.Refusal(calls.RefusalKind.STOPPING, message="this daemon is stopping")
+
+
 def _bad_request(message: str) -> calls.Refusal:
     return calls.Refusal(calls.RefusalKind.BAD_REQUEST, message=message)
 
--- a/toucanfold/forward.py
+++ b/toucanfold/forward.py
@@ -215,6 +215,10 @@
         return answer
 
 
+    def usual_time_s(self, route: str) -> float | None:
+        """Return in which time (s) most calls of a route end, None if unknown."""
+        return self._delays.delay(route)
+
 class Forwarder:
     """Sends recorded calls to their slot's owner, all others to a chosen target."""
 
