Hold back requests under which targets end

Cause: nothing knew that a target had ended under a request. Its daemon answered target_failed, the entry sent the request to the next target, the client came back under a new id, and each of these ended one more target.

Change: a daemon that loses a call's connection checks whether its target still listens. If not, the requests that ran there become suspects, by a digest of service, method, host, path, query and body. Reports go to all daemons of the service (two of each other region pass them on) and to the entries that use the target. Suspects run one at a time, all repetitions of one at the same target; one that completes is cleared, and the only repeated one of a further crash is quarantined for ten minutes. Control records quarantines, so that they outlast the process that found them, and operators list and lift them. A target at whose address nothing listens gets no calls and is announced as waiting; a refused connection is rerouted without an attempt of the allowance.

--- a/toucanfold/admin.py
+++ b/toucanfold/admin.py
@@ -63,6 +63,8 @@
   target list [SERVICE]
   target drain|undrain NAME    stops or resumes new work
   target ended NAME            confirms that the process has terminated
+  quarantine list              requests under which targets ended
+  quarantine lift DIGEST
   member list
   member add NAME ADDRESS
   member replace NAME ADDRESS  the new instance has the same name and an empty disk
@@ -206,6 +208,16 @@
     )
 
 
+def _run_quarantine_command(client: adminclient.Client, words: list[str]) -> Answer:
+    match words:
+        case ["quarantine", "list"]:
+            return client.read("/v1/quarantines")
+        case ["quarantine", "lift", digest]:
+            path = _resource_path("quarantines", digest)
+            return _submit_change(client, "DELETE", path, {})
+    raise UsageError("use list or lift DIGEST")
+
+
 def _run_other_command(client: adminclient.Client, words: list[str]) -> Answer:
     match words:
         case ["status"]:
@@ -222,6 +234,7 @@
     "key": _run_key_command,
     "target": _run_target_command,
     "member": _run_member_command,
+    "quarantine": _run_quarantine_command,
     **dict.fromkeys(("status", "histograms", "wait"), _run_other_command),
 }
 
--- a/toucanfold/adminapi.py
+++ b/toucanfold/adminapi.py
@@ -72,7 +72,7 @@
             for method, pattern, endpoint in (
                 (
                     "GET",
-                    r"/v1/(profiles|routes|accounts|targets|slots)",
+                    r"/v1/(profiles|routes|accounts|targets|slots|quarantines)",
                     self._list_objects,
                 ),
                 (
@@ -91,10 +91,11 @@
                 ("DELETE", r"/v1/keys/([^/]+)", self._withdraw_key),
                 ("POST", r"/v1/targets/([^/]+)/state", self._set_target_state),
                 ("POST", r"/v1/targets/([^/]+)/ended", self._confirm_ended),
+                ("DELETE", r"/v1/quarantines/([^/]+)", self._lift_quarantine),
                 ("GET", r"/v1/members", self._list_members),
                 ("POST", r"/v1/members", self._change_members),
                 ("POST", r"/v1/transfer", self._transfer_leadership),
-                ("GET", r"/v1/revisions/([0-9]+)", self._wait_in_force),
+                ("GET", r"/v1/revisions/([0-9]{1,18})", self._wait_in_force),
                 ("GET", r"/v1/status", self._status),
                 ("GET", r"/v1/histograms", self._histograms),
                 ("GET", r"/debug", self._debug),
@@ -242,6 +243,12 @@
         operation = _operation(request.json())
         return await self._submit(commands.WithdrawKey(operation=operation, id=key_id))
 
+    async def _lift_quarantine(self, request: Request, digest: str) -> Response:
+        operation = _operation(request.json())
+        return await self._submit(
+            commands.LiftQuarantine(operation=operation, digest=digest)
+        )
+
     async def _set_target_state(self, request: Request, name: str) -> Response:
         fields = request.json()
         state = _required_field(fields, "state", str)
@@ -296,11 +303,12 @@
 
     async def _wait_in_force(self, request: Request, text: str) -> Response:
         try:
-            max_wait_s = min(
-                MAX_WAIT_S, float(request.query.get("wait_ms", "0")) / 1000
-            )
+            wait_s = float(request.query.get("wait_ms", "0")) / 1000
         except ValueError as error:
             raise _bad_request("wait_ms must be a number") from error
+        if not wait_s >= 0:
+            raise _bad_request("wait_ms must be at least 0")
+        max_wait_s = min(MAX_WAIT_S, wait_s)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + max_wait_s
         while True:
--- a/toucanfold/calls.py
+++ b/toucanfold/calls.py
@@ -4,7 +4,7 @@
 import enum
 import hashlib
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 
 PRIORITY_LEVELS = 128
 MAX_LEVEL = 4 * PRIORITY_LEVELS
@@ -43,6 +43,8 @@
     RETRIES_EXHAUSTED = "retries_exhausted"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     TARGET_FAILED = "target_failed"
+    QUARANTINED = "quarantined"
+    MISDIRECTED = "misdirected"
 
 
 STATUS_BY_KIND = {
@@ -63,6 +65,8 @@
     RefusalKind.RETRIES_EXHAUSTED: 503,
     RefusalKind.DEADLINE_EXCEEDED: 504,
     RefusalKind.TARGET_FAILED: 502,
+    RefusalKind.QUARANTINED: 503,
+    RefusalKind.MISDIRECTED: 503,
 }
 
 REMEDY_BY_KIND = {
@@ -89,6 +93,11 @@
     RefusalKind.TARGET_FAILED: (
         "check the result before repeating a non-idempotent request"
     ),
+    RefusalKind.QUARANTINED: (
+        "do not repeat the request; the operator should correct the service and lift"
+        " the quarantine"
+    ),
+    RefusalKind.MISDIRECTED: "retry after the retry time",
 }
 
 
@@ -141,6 +150,8 @@
     idempotency_key: str = ""
     slot: int = -1
     slot_epoch: int = 0
+    # Known crashes of targets under this request.
+    crashes: Sequence[str] = ()
     body_stream: AsyncIterator[bytes] | None = None
 
     @property
@@ -177,6 +188,7 @@
     body_stream is None when body holds the complete body. undispatched is set when the
     call left the queue of the target's daemon without being sent to the target.
     departing is the label of the answering instance if it stated that it is leaving.
+    crash identifies the end of the target's process if that happened under the call.
     """
 
     status: int = 0
@@ -193,6 +205,7 @@
     target_seconds: float = 0.0
     undispatched: bool = False
     departing: str = ""
+    crash: str = ""
     body_stream: AsyncIterator[bytes] | None = None
 
     @property
--- a/toucanfold/commands.py
+++ b/toucanfold/commands.py
@@ -152,6 +152,21 @@
     tables: dict[str, list[dict[str, Any]]] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class AddQuarantine(Command):
+    """Quarantines a request under which targets ended; digest is hex."""
+
+    digest: str = ""
+    reporter: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class LiftQuarantine(Command):
+    """Ends the quarantine of a request; digest is hex."""
+
+    digest: str = ""
+
+
 COMMAND_TYPES: dict[str, type[Command]] = {
     cls.__name__: cls
     for cls in (
@@ -168,6 +183,8 @@
         AssignSlots,
         ConfirmEnded,
         ReplaceConfiguration,
+        AddQuarantine,
+        LiftQuarantine,
     )
 }
 
@@ -186,7 +203,13 @@
     try:
         fields = json.loads(model.decompress_json(data))
         return result.Success(COMMAND_TYPES[fields.pop("kind")](**fields))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         return result.Failure(
             exceptions.ValidationError(
                 f"unknown command: {error}",
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -18,6 +18,8 @@
     clock,
     cmdline,
     config,
+    crashes,
+    crashguard,
     debughttp,
     decisionlog,
     dependencies,
@@ -65,14 +67,15 @@
 # closed connection.
 DRAIN_GRACE_S = 1.0
 FLUSH_TIMEOUT_S = 1.0
-# Minimum time for each of the final steps when the drain timeout is used up.
+# Minimum time for each of the final steps when the drain timeout is used up, and the
+# number of these steps.
 MIN_FINAL_STEP_S = 0.2
-# Collections of the youngest generation scan only new objects. Long pauses come from
-# the oldest generation, so it is collected rarely; objects that exist at the start are
-# frozen and not scanned.
 FINAL_STEPS = 2
 # Time between the end of a planned stop and the end of the platform's grace period.
 GRACE_PERIOD_MARGIN_S = 0.5
+# Collections of the youngest generation scan only new objects. Long pauses come from
+# the oldest generation, so it is collected rarely; objects that exist at the start are
+# frozen and not scanned.
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
@@ -120,6 +123,7 @@
         self.downstream_levels = pressure.DownstreamLevels()
         self._downstream = dependencies.DependencyTracker()
         self.dispatcher = self._make_dispatcher()
+        self.crash_ledger = crashes.CrashLedger()
         self.incoming = _LateBoundRunner()
         self.peers = peers.Peers(
             identity,
@@ -139,13 +143,27 @@
             self._get("region_budget"),
             self.rng,
         )
+        self.crash_guard = crashguard.CrashGuard(
+            identity.name,
+            self.crash_ledger,
+            self.peers,
+            self.metrics,
+            lambda: source.state.targets_of(self.service),
+        )
+        self.crash_guard.on_quarantined = source.wake
+        self._target_runner = crashguard.SuspectRunner(
+            self.crash_guard, self.dispatcher
+        )
         # Shared by this daemon's retries and its callers' resends.
         self.budgets = self._make_budgets()
         self.sender = self._make_sender()
+        self.peers.crash_reports = self.crash_guard
+        self.dispatcher.on_crash = self.crash_guard.on_crash
+        self.dispatcher.on_connection_refused = self._on_connection_refused
         self.owner = owner.Owner(
             identity.name, identity.incarnation, self.sender, self.peers
         )
-        self.incoming.runner = forward.InboundRunner(self.owner, self.dispatcher)
+        self.incoming.runner = forward.InboundRunner(self.owner, self._target_runner)
         self.peers.owner = self.owner
         self.forwarder = forward.Forwarder(
             identity.name,
@@ -177,6 +195,7 @@
         self._plugin_settings = ("", "", 0, 0)
         self._report_timer: asyncio.TimerHandle | None = None
         self._restart_watch: asyncio.Task[None] | None = None
+        self._listening_watch: asyncio.Task[None] | None = None
         source.subscribe(self._on_state)
 
     @property
@@ -228,6 +247,8 @@
         timeout_s = self._drain_timeout_s()
         serve_s = min(self._get("drain_serve"), timeout_s)
         drain_ends_at = asyncio.get_running_loop().time() + timeout_s
+        calls_end_at = drain_ends_at - FINAL_STEPS * MIN_FINAL_STEP_S
+        self.entry.calls_end_at = calls_end_at
         self.peers.drain()
         self.callers.drain()
         announcing = asyncio.ensure_future(self.source.drain())
@@ -237,6 +258,7 @@
         timeout_s = max(0.0, calls_end_at - asyncio.get_running_loop().time())
         await asyncio.wait({announcing}, timeout=timeout_s)
         announcing.cancel()
+        timeout_s = max(0.0, calls_end_at - asyncio.get_running_loop().time())
         if not await _wait_until(self._is_empty, timeout_s):
             logging.warning(
                 "drain timeout reached; closing with %d calls running", self.running
@@ -249,8 +271,6 @@
         flush_timeout_s = min(
             FLUSH_TIMEOUT_S, max(MIN_FINAL_STEP_S, remaining_s - MIN_FINAL_STEP_S)
         )
-        calls_end_at = drain_ends_at - FINAL_STEPS * MIN_FINAL_STEP_S
-        self.entry.calls_end_at = calls_end_at
         servers = (self.callers, self.egress_server, *self._extra_servers)
         await asyncio.gather(*(server.shut_down(flush_timeout_s) for server in servers))
         remaining_s = max(
@@ -259,16 +279,22 @@
         await self.source.leave(remaining_s)
         logging.info("drained")
 
+    def _drain_timeout_s(self) -> float:
+        grace_s = self._get("grace_period")
+        if grace_s:
+            return max(DRAIN_GRACE_S, grace_s - GRACE_PERIOD_MARGIN_S)
+        return self._get("drain_timeout")
+
     def stop(self) -> None:
-        timeout_s = max(0.0, calls_end_at - asyncio.get_running_loop().time())
         """Close all listeners and connections at once."""
         servers = (self.callers, self.egress_server, self.debug_server)
         for server in (*servers, *self._extra_servers):
             server.stop()
         self.peers.stop()
         self.dispatcher.stop()
-        if self._restart_watch is not None:
-            self._restart_watch.cancel()
+        for watching in (self._restart_watch, self._listening_watch):
+            if watching is not None:
+                watching.cancel()
         if self._report_timer is not None:
             self._report_timer.cancel()
 
@@ -279,12 +305,6 @@
                 "name": self._identity.name,
                 "service": self.service,
                 "incarnation": self._identity.incarnation,
-    def _drain_timeout_s(self) -> float:
-        grace_s = self._get("grace_period")
-        if grace_s:
-            return max(DRAIN_GRACE_S, grace_s - GRACE_PERIOD_MARGIN_S)
-        return self._get("drain_timeout")
-
                 "stopping": self.entry.stopping,
             },
             "fleet": {
@@ -310,6 +330,10 @@
                 "connections": len(self.dispatcher.pool),
                 "idle_connections": self.dispatcher.pool.idle,
             },
+            "crashes": {
+                "suspects": self.crash_ledger.suspected,
+                "quarantined": self.crash_ledger.quarantined,
+            },
             "links": self.peers.dump(),
             "routing": self.router.describe(asyncio.get_running_loop().time()),
             "plugins": [module.__name__ for module in plugins.MODULES],
@@ -330,6 +354,8 @@
             "stated_rate": self.dispatcher.stated_rate or 0.0,
             "target_connections": len(self.dispatcher.pool),
             "links": len(self.peers.dump()),
+            "suspects": self.crash_ledger.suspected,
+            "quarantined": self.crash_ledger.quarantined,
             "caller_connections": len(self.callers),
             "revision": self.source.state.revision,
             "fresh": int(self.source.is_fresh(now)),
@@ -386,6 +412,20 @@
         self.target_status.on_restarted()
         self._apply_target_status()
 
+    def _on_connection_refused(self) -> None:
+        self._apply_target_status()
+        if self._listening_watch is None:
+            self._listening_watch = asyncio.get_running_loop().create_task(
+                self._wait_until_listening()
+            )
+
+    async def _wait_until_listening(self) -> None:
+        await restartwatch.wait_until_listening(self._get("target_address"))
+        logging.info("the target listens again")
+        self._listening_watch = None
+        self.target_status.on_listening()
+        self._apply_target_status()
+
     def complete_copies(self) -> list[messages.SlotMark]:
         """Return the slots of which this daemon, as backup, has a complete copy."""
         return [
@@ -447,10 +487,11 @@
             self._identity.name,
             self.router,
             self.budgets,
-            self.dispatcher,
+            self._target_runner,
             self.peers,
             lambda: self.source.state,
             decision_log=self._decision_log,
+            guard=self.crash_guard,
         )
 
     def _make_entry(self) -> entry.Entry:
@@ -468,6 +509,7 @@
             service=self.service,
             decision_log=self._decision_log,
             downstream=self._downstream,
+            usual_time_s=self.sender.usual_time_s,
         )
 
     def _on_state(self, state: model.FleetState) -> None:
@@ -482,6 +524,7 @@
         ):
             logging.info("target %s is recorded as leaving", own_target.departed)
             self._on_target_leaving()
+        self.crash_guard.on_recorded(state.quarantined_digests())
         self.router.update(now, state)
         self._holder_selector.on_state(state)
         self.owner.on_state(now, state)
@@ -509,7 +552,6 @@
             self._plugin_settings = plugins
             self.dispatcher.replace(*dispatch.create_plugins(profile))
 
-            usual_time_s=self.sender.usual_time_s,
     def _report(self) -> None:
         """Send the counters and gauges to statsd."""
         self.metrics.gauge("running", self.running)
@@ -672,6 +714,7 @@
         decision_log=decision_log,
     )
     source.complete_copies = daemon.complete_copies
+    source.quarantined = daemon.crash_guard.unrecorded
     return daemon
 
 
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import secrets
 import time
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
     model,
     pressure,
     registry,
+    restartwatch,
     servicetimes,
     statedrate,
     targetstatus,
@@ -32,6 +34,9 @@
 SERVICE_TIME_GAIN = 0.1
 RETRY_AFTER_MS = 200
 STATED_RATE_LOG_INTERVAL_S = 1.0
+CRASH_ID_BYTES = 8
+# Calls whose ids are logged when the target has ended.
+MAX_LOGGED_CALLS = 32
 RANK_NAMES = {rank: name for name, rank in model.IMPORTANCE_RANKS.items()}
 
 
@@ -40,6 +45,7 @@
 
     __slots__ = (
         "connection",
+        "crash",
         "ended",
         "is_target_leaving",
         "route",
@@ -61,6 +67,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
         self.is_target_leaving = False
+        # Identifies the end of the target's process if the call ran then.
+        self.crash = ""
 
 
 class Dispatcher:
@@ -89,6 +97,13 @@
         self.on_call_aborted: Callable[[calls.CallToken], None] | None = None
         # Called when a response has stated that the target is leaving.
         self.on_leaving: Callable[[], None] | None = None
+        # Called when nothing listens at the target's address any more.
+        self.on_connection_refused: Callable[[], None] | None = None
+        # Called with the crash's id and the calls that the target ran when it ended.
+        self.on_crash: Callable[[str, list[calls.Call]], None] | None = None
+        # Calls that were sent to the target and have not ended.
+        self._sent: set[_RunningCall] = set()
+        self._crash_check: asyncio.Task[str] | None = None
         self._limiter = concurrency
         self._queue = queue
         self._downstream_levels = downstream_levels or pressure.DownstreamLevels()
@@ -143,6 +158,8 @@
         for timer in (self._window_timer, self._stated_rate_timer):
             if timer is not None:
                 timer.cancel()
+        if self._crash_check is not None:
+            self._crash_check.cancel()
         self.pool.close()
 
     def on_target_status(self) -> None:
@@ -313,6 +330,7 @@
             self._finish(running, kind)
         if running.is_target_leaving:
             answer.departing = running.target
+        answer.crash = running.crash
         return self._add_load_report(call, answer, token)
 
     async def _exchange(
@@ -325,6 +343,7 @@
                 kind = limiter.FinishKind.TIMEOUT
             return acquired, kind
         running.connection = acquired
+        self._sent.add(running)
         exchanged = await acquired.exchange(
             call.method,
             call.path,
@@ -336,7 +355,10 @@
             ),
         )
         if not isinstance(exchanged, httpclient.result.Success):
-            return self._to_refusal(call, exchanged.failure())
+            error = exchanged.failure()
+            if error.sent and self._loop.time() < call.deadline:
+                running.crash = await self._check_crash(running)
+            return self._to_refusal(call, error)
         return self._to_answer(call, exchanged.unwrap(), running)
 
     async def _acquire(self, call: calls.Call) -> httpclient.Connection | calls.Answer:
@@ -351,12 +373,60 @@
             return _deadline_refusal()
         if isinstance(acquired, httpclient.result.Success):
             return acquired.unwrap()
+        error = acquired.failure()
+        if error.refused:
+            self._on_connection_refused()
         return calls.refuse(
-            calls.RefusalKind.TARGET_FAILED,
-            acquired.failure().message,
+            calls.RefusalKind.NO_TARGET
+            if error.refused
+            else calls.RefusalKind.TARGET_FAILED,
+            error.message,
             retry_after_ms=100,
         )
 
+    def _on_connection_refused(self) -> None:
+        if not self._target_status.on_connection_refused():
+            return
+        logging.warning("nothing listens at the target's address; it gets no calls")
+        self.on_target_status()
+        if self.on_connection_refused is not None:
+            self.on_connection_refused()
+
+    async def _check_crash(self, running: _RunningCall) -> str:
+        """Return the id of the crash in which a call's connection was lost, if any.
+
+        A target that ends loses all connections and stops listening, while a single
+        lost connection says nothing about the target.
+        """
+        if self._crash_check is None:
+            self._crash_check = self._loop.create_task(self._find_crash())
+            self._crash_check.add_done_callback(self._on_crash_checked)
+        # The call counts as sent until the check has ended.
+        return await asyncio.shield(self._crash_check)
+
+    def _on_crash_checked(self, check: asyncio.Task[str]) -> None:
+        self._crash_check = None
+
+    async def _find_crash(self) -> str:
+        was_leaving = not self._target_status.accepts_calls
+        if await restartwatch.is_address_listening(self.pool.address):
+            return ""
+        self._on_connection_refused()
+        if was_leaving:
+            return ""
+        crash = secrets.token_hex(CRASH_ID_BYTES)
+        sent = [running.token.call for running in self._sent]
+        logging.warning(
+            "the target has ended while it ran %d calls (crash %s): %s",
+            len(sent),
+            crash,
+            " ".join(call.root_id for call in sent[:MAX_LOGGED_CALLS]),
+        )
+        self._metrics.count("target.crashed")
+        if self.on_crash is not None:
+            self.on_crash(crash, sent)
+        return crash
+
     def _to_answer(
         self,
         call: calls.Call,
@@ -454,6 +524,7 @@
         if running.ended:
             return
         running.ended = True
+        self._sent.discard(running)
         now = self._loop.time()
         if running.timer is not None:
             running.timer.cancel()
--- a/toucanfold/exceptions.py
+++ b/toucanfold/exceptions.py
@@ -91,13 +91,21 @@
     """A target could not be reached, or its response is missing or malformed.
 
     sent tells whether any byte of the request was sent to the target, answered
-    whether the head of its response arrived.
+    whether the head of its response arrived, and refused whether nothing listens at
+    its address.
     """
 
-    def __init__(self, message: str, sent: bool, answered: bool = False):
+    def __init__(
+        self,
+        message: str,
+        sent: bool,
+        answered: bool = False,
+        refused: bool = False,
+    ):
         super().__init__(message, "check that the target runs and speaks HTTP/1.1")
         self.sent = sent
         self.answered = answered
+        self.refused = refused
 
 
 class BodyAbortedError(ToucanfoldError):
--- a/toucanfold/forward.py
+++ b/toucanfold/forward.py
@@ -5,7 +5,16 @@
 from collections.abc import AsyncGenerator, Callable
 from typing import Protocol
 
-from toucanfold import bodies, calls, decisionlog, model, retries, router
+from toucanfold import (
+    bodies,
+    calls,
+    crashes,
+    crashguard,
+    decisionlog,
+    model,
+    retries,
+    router,
+)
 from toucanfold import clock as clocks
 
 # The daemon that runs a call ends it at the deadline and knows its outcome. This time
@@ -44,6 +53,7 @@
         "_clock",
         "_delays",
         "_dispatcher",
+        "_guard",
         "_log",
         "_name",
         "_peers",
@@ -61,7 +71,9 @@
         state_of: Callable[[], model.FleetState],
         clock: Callable[[], float] = clocks.now,
         decision_log: decisionlog.DecisionLog | None = None,
+        guard: crashguard.CrashGuard | None = None,
     ):
+        self._guard = guard
         self._log = decision_log or decisionlog.NullDecisionLog()
         self._name = name
         self._router = target_router
@@ -76,7 +88,10 @@
         """Run a call at a target that the router chooses."""
         allowance = retries.Allowance(call.attempts_left)
         tried: set[str] = set()
-        target = self._router.pick(self._clock(), call, frozenset())
+        refused = self._check_crashes(call)
+        if refused is not None:
+            return refused
+        target = self._pick(call, tried)
         if target is None:
             return _no_target(call)
         while True:
@@ -84,16 +99,40 @@
             answer = await self._attempt(call, target, allowance, tried)
             now = self._clock()
             self._log_attempt(now, call, target, answer, len(tried))
+            if self._guard is not None:
+                self._guard.on_answer(call, answer)
             if not allowance.may_retry(now, call, answer, self._budgets):
                 break
-            target = self._router.pick(now, call, frozenset(tried))
+            refused = self._check_crashes(call)
+            target = None if refused else self._pick(call, tried)
             if target is None:
                 allowance.refund(call, self._budgets)
+                answer = refused or answer
                 break
         if answer.refusal is None and answer.status < 500:
             self._budgets.on_success(now, call.service)
         return allowance.finish(answer)
 
+    def _check_crashes(self, call: calls.Call) -> calls.Answer | None:
+        """Attach the known crashes under a call; return its refusal if quarantined."""
+        if self._guard is None or self._guard.is_idle:
+            return None
+        digest = crashes.digest_of(call)
+        call.crashes = self._guard.crashes_under(digest)
+        refused = self._guard.refusal(digest)
+        if refused is not None:
+            bodies.cancel(call.body_stream)
+        return refused
+
+    def _pick(self, call: calls.Call, tried: set[str]) -> model.Target | None:
+        exclude = frozenset(tried)
+        if call.crashes:
+            digest = crashes.digest_of(call)
+            target = self._router.pick_for_suspect(call.service, digest, exclude)
+            if target is not None:
+                return target
+        return self._router.pick(self._clock(), call, exclude)
+
     def _log_attempt(
         self,
         now: float,
@@ -117,6 +156,8 @@
             left_ms=round((call.deadline - now) * 1000),
             limit=answer.limit,
             in_flight=answer.in_flight,
+            crash=answer.crash,
+            digest=crashes.digest_of(call).hex() if answer.crash else "",
         )
 
     async def _attempt(
@@ -174,8 +215,12 @@
         tried.add(target.name)
         return target
 
+    def usual_time_s(self, route: str) -> float | None:
+        """Return in which time (s) most calls of a route end, None if unknown."""
+        return self._delays.delay(route)
+
     def _hedge_delay(self, call: calls.Call) -> float | None:
-        if not call.idempotent or not call.is_replayable:
+        if not call.idempotent or not call.is_replayable or call.crashes:
             return None
         state = self._state_of()
         route = state.routes.get(call.route)
@@ -215,10 +260,6 @@
         return answer
 
 
-    def usual_time_s(self, route: str) -> float | None:
-        """Return in which time (s) most calls of a route end, None if unknown."""
-        return self._delays.delay(route)
-
 class Forwarder:
     """Sends recorded calls to their slot's owner, all others to a chosen target."""
 
--- a/toucanfold/interfaces.py
+++ b/toucanfold/interfaces.py
@@ -27,6 +27,9 @@
     ) -> None:
         """Announce whether this daemon's target accepts calls, and its labels."""
 
+    def wake(self) -> None:
+        """Report to control soon instead of at the next regular time."""
+
     async def drain(self) -> None:
         """Announce that this daemon accepts no new calls."""
 
@@ -66,6 +69,10 @@
         """Record the announcement."""
         self.events.append("ready" if is_ready else "not ready")
 
+    def wake(self) -> None:
+        """Record the request."""
+        self.events.append("wake")
+
     async def drain(self) -> None:
         """Record the announcement."""
         self.events.append("drain")
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -15,6 +15,7 @@
 from toucanfold import (
     clock,
     commands,
+    crashes,
     exceptions,
     failuredetector,
     joinplanner,
@@ -70,6 +71,8 @@
         self._planned_revision = -1
         self._starvations_logged_at = float("-inf")
         self._refused_announcement = ""
+        # Times at which quarantines were first seen in this term, by digest.
+        self._quarantined_at: dict[str, float] = {}
         # Complete backup copies by daemon and incarnation, as reported in this term.
         self._copies_by_incarnation: dict[
             tuple[str, int], frozenset[leaderinterfaces.CompleteCopy]
@@ -109,6 +112,7 @@
                     self._plan_slots()
                     self._admit_pending_join()
                     self._log_starvations()
+                    self._end_quarantines()
             except Exception:
                 logging.exception("a periodic check of the leader failed")
 
@@ -241,6 +245,7 @@
         if ping.get("announcement"):
             self._propose_announcement(ping["announcement"])
         self._record_complete_copies(ping)
+        self._propose_quarantines(ping)
         return [share_values(share) for share in self._renew_shares(now, ping)]
 
     def _renew_shares(self, now: float, ping: Payload) -> list[messages.Share]:
@@ -295,6 +300,29 @@
             self._end_incarnation(current.name, current.incarnation)
         self._propose(f"announce {target['name']}", command)
 
+    def _propose_quarantines(self, ping: Payload) -> None:
+        known = self._store.state.quarantines
+        for digest in ping.get("quarantined", ()):
+            if digest not in known:
+                command = commands.AddQuarantine(digest=digest, reporter=ping["daemon"])
+                self._propose(f"quarantine {digest}", command)
+
+    def _end_quarantines(self) -> None:
+        """Lift quarantines that have been in force for their whole time.
+
+        Their age is counted since this instance leads, so a change of leader prolongs
+        them.
+        """
+        now = asyncio.get_running_loop().time()
+        known = self._store.state.quarantines
+        self._quarantined_at = {
+            digest: self._quarantined_at.get(digest, now) for digest in known
+        }
+        for digest, since in self._quarantined_at.items():
+            if now - since >= crashes.QUARANTINE_S:
+                command = commands.LiftQuarantine(digest=digest)
+                self._propose(f"lift quarantine {digest}", command)
+
     def _log_refused_announcement(
         self, name: str, error: exceptions.ToucanfoldError
     ) -> None:
@@ -429,6 +457,7 @@
         self._leader_term = term
         self._planned_revision = -1
         self._copies_by_incarnation = {}
+        self._quarantined_at = {}
         now = asyncio.get_running_loop().time()
         logging.info("leading control in term %d", term)
         self._failure_detector.on_elected(now)
--- a/toucanfold/linkcalls.py
+++ b/toucanfold/linkcalls.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 
-from toucanfold import bodies, calls, eagertask, exceptions, link, messages
+from toucanfold import bodies, calls, eagertask, exceptions, link, messages, model
 
 # Time after the deadline in which the peer's own refusal may still arrive. It is more
 # precise than the refusal made here, whose outcome can only be "unknown".
@@ -18,6 +18,7 @@
 # buffer however many bodies share it, and keeps short calls from waiting behind them.
 LINK_HIGH_WATER_BYTES = 1 << 20
 LINK_BUFFER_POLL_S = 0.005
+MAX_UINT32 = (1 << 32) - 1
 
 
 class CallRunner(Protocol):
@@ -394,11 +395,15 @@
         route=call.route,
         slot=call.slot,
         slot_epoch=call.slot_epoch,
+        crashes=list(call.crashes),
     )
 
 
 def from_message(message: messages.Call, now: float) -> calls.Call:
     """Return the call of a message, with times (s) on this process's clock."""
+    weight = message.weight
+    if not model.MIN_WEIGHT <= weight <= model.MAX_ACCOUNT_WEIGHT:
+        weight = 1.0
     return calls.Call(
         root_id=message.root_id,
         service=message.service,
@@ -412,13 +417,14 @@
         deadline=now + message.timeout_ms / 1000,
         root_started_at=now - message.root_age_ms / 1000,
         route=message.route,
-        weight=message.weight,
+        weight=weight,
         depth=message.depth,
-        priority=message.priority,
+        priority=min(message.priority, calls.PRIORITY_LEVELS - 1),
         attempts_left=message.attempts_left,
         idempotency_key=message.idempotency_key,
         slot=message.slot,
         slot_epoch=message.slot_epoch,
+        crashes=tuple(message.crashes),
     )
 
 
@@ -438,22 +444,29 @@
         attempts_spent=answer.attempts_spent,
         retried=answer.retried,
         level=answer.level,
-        limit=answer.limit,
-        in_flight=answer.in_flight,
+        limit=min(answer.limit, MAX_UINT32),
+        in_flight=min(answer.in_flight, MAX_UINT32),
         target_us=int(answer.target_seconds * 1e6),
         undispatched=answer.undispatched,
         departing=answer.departing,
         route_reduction=calls.MAX_LEVEL - answer.route_level,
+        crash=answer.crash,
     )
 
 
 def from_answer(message: messages.Answer) -> calls.Answer:
     """Return the answer of a message."""
-    outcome = calls.Outcome(message.outcome)
+    outcome = calls.Outcome.UNKNOWN
+    if message.outcome in list(calls.Outcome):
+        outcome = calls.Outcome(message.outcome)
     refusal = None
     if message.kind:
+        # A later version may have further kinds; the outcome tells what is certain.
+        kind = calls.RefusalKind.TARGET_FAILED
+        if message.kind in list(calls.RefusalKind):
+            kind = calls.RefusalKind(message.kind)
         refusal = calls.Refusal(
-            calls.RefusalKind(message.kind),
+            kind,
             outcome,
             message.message,
             message.retry_after_ms,
@@ -473,4 +486,5 @@
         undispatched=message.undispatched,
         departing=message.departing,
         route_level=max(0, calls.MAX_LEVEL - message.route_reduction),
+        crash=message.crash,
     )
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -24,6 +24,7 @@
     relayReply @18 :RelayReply;
     tokenRequest @19 :TokenRequest;
     tokenReply @20 :TokenReply;
+    crashReport @21 :CrashReport;
   }
 }
 
@@ -64,6 +65,7 @@
   route @18 :Text;
   slot @19 :Int32;
   slotEpoch @20 :UInt64;
+  crashes @21 :List(Text);
 }
 
 struct Answer {
@@ -85,6 +87,7 @@
   undispatched @15 :Bool;
   departing @16 :Text;
   routeReduction @17 :UInt16;
+  crash @18 :Text;
 }
 
 struct Body {
@@ -173,6 +176,13 @@
   share @3 :Text;
 }
 
+struct CrashReport {
+  crash @0 :Text;
+  suspects @1 :List(Data);
+  completed @2 :List(Data);
+  relayed @3 :Bool;
+}
+
 struct Announcement {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -198,6 +208,7 @@
   shares @4 :List(Share);
   raftTerm @5 :UInt64;
   complete @6 :List(SlotMark);
+  quarantined @7 :List(Data);
 }
 
 struct WatchPong {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -77,6 +77,7 @@
     """A call for the receiver's local target; times in milliseconds."""
 
     TAG = "call"
+    LISTS = ("crashes",)
     id: int = 0
     root_id: str = ""
     service: str = ""
@@ -98,6 +99,8 @@
     route: str = ""
     slot: int = -1
     slot_epoch: int = 0
+    # The crashes of targets under this request that the sender knows of.
+    crashes: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,6 +129,7 @@
     undispatched: bool = False
     departing: str = ""
     route_reduction: int = 0
+    crash: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -273,6 +277,23 @@
     share: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class CrashReport(Message):
+    """Reports a target that ended, or suspects that a target has completed.
+
+    suspects are the digests of all requests that the target ran when it ended, and
+    crash identifies that event; it is empty if only completed holds digests. relayed
+    asks the receiver to pass the report on to the other daemons of its region.
+    """
+
+    TAG = "crashReport"
+    LISTS = ("suspects", "completed")
+    crash: str = ""
+    suspects: list[bytes] = dataclasses.field(default_factory=list)
+    completed: list[bytes] = dataclasses.field(default_factory=list)
+    relayed: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class Announcement(Message):
     """A daemon's description of its target; state is up or draining.
@@ -310,6 +331,7 @@
         "shares": Share,
         "complete": SlotMark,
     }
+    LISTS = ("quarantined",)
     sequence: int = 0
     applied_revision: int = 0
     announcement: Announcement = dataclasses.field(default_factory=Announcement)
@@ -318,6 +340,8 @@
     raft_term: int = 0
     # Slots of which the sender, as backup, has a complete copy of the records.
     complete: list[SlotMark] = dataclasses.field(default_factory=list)
+    # Digests of requests that the sender quarantines and the fleet state does not.
+    quarantined: list[bytes] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/peers.py
+++ b/toucanfold/peers.py
@@ -33,6 +33,13 @@
         """Handle the loss of a link over which replies may be due."""
 
 
+class CrashReportHandler(Protocol):
+    """Handles reports of targets that ended."""
+
+    def on_report(self, report: messages.CrashReport) -> None:
+        """Handle a report of another daemon."""
+
+
 class _Peer:
     """The link to one other daemon, and its backoff after failed connections."""
 
@@ -60,6 +67,7 @@
     ):
         self.owner: RecordMessageHandler | None = None
         self.account_tokens: TokenMessageHandler | None = None
+        self.crash_reports: CrashReportHandler | None = None
         # Called with (now, name, is_up) when a link opens, closes or cannot be opened,
         # and when its peer sends Goaway.
         self.on_link: Callable[[float, str, bool], None] | None = None
@@ -125,6 +133,22 @@
         if self._open_session(target.name) is None and peer.connecting is None:
             self._start_connecting(peer, target)
 
+    def broadcast(self, message: messages.Message) -> None:
+        """Send a message over all open links; no link is opened for it."""
+        for session in self._sessions.values():
+            session.link.send(message)
+
+    def post(self, target: model.Target, message: messages.Message) -> None:
+        """Send a message to another daemon in the background, opening a link."""
+        task = self._loop.create_task(self._post(target, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _post(self, target: model.Target, message: messages.Message) -> None:
+        opened = await self.link_to(target)
+        if opened is None or not opened.send(message):
+            logging.info("no link to %s for a %s message", target.name, message.TAG)
+
     def is_up(self, name: str) -> bool:
         """Whether a link to a daemon is open and its peer accepts new calls."""
         session = self._open_session(name)
@@ -196,6 +220,10 @@
             if self.account_tokens is not None:
                 self.account_tokens.on_message(opened, message)
             return
+        if isinstance(message, messages.CrashReport):
+            if self.crash_reports is not None:
+                self.crash_reports.on_report(message)
+            return
         session.on_message(message)
         if type(message) is messages.Goaway and opened.peer is not None:
             self._report_link(opened.peer.name, False)
--- a/toucanfold/restartwatch.py
+++ b/toucanfold/restartwatch.py
@@ -1,4 +1,4 @@
-"""Waits until a target that announces nothing has restarted after it left."""
+"""Finds out whether a target listens, and waits until one has restarted."""
 
 import asyncio
 import contextlib
@@ -6,6 +6,8 @@
 from toucanfold import link, targetstatus
 
 POLL_INTERVAL_S = 0.5
+# A target that has ended should serve again soon after its restart.
+LISTENING_POLL_INTERVAL_S = 0.1
 CONNECT_TIMEOUT_S = 0.5
 
 
@@ -19,13 +21,20 @@
     has_ended = False
     while True:
         await asyncio.sleep(POLL_INTERVAL_S)
-        is_listening = await _is_listening(address)
+        is_listening = await is_address_listening(address)
         if is_listening and (has_ended or loop.time() >= gives_up_at):
             return
         has_ended = has_ended or not is_listening
 
 
-async def _is_listening(address: str) -> bool:
+async def wait_until_listening(address: str) -> None:
+    """Return once the address accepts a connection."""
+    while not await is_address_listening(address):
+        await asyncio.sleep(LISTENING_POLL_INTERVAL_S)
+
+
+async def is_address_listening(address: str) -> bool:
+    """Whether a connection to the address is accepted within CONNECT_TIMEOUT_S."""
     host, port = link.split_address(address)
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/toucanfold/retries.py
+++ b/toucanfold/retries.py
@@ -29,11 +29,18 @@
         calls.RefusalKind.OVERLOADED,
         calls.RefusalKind.NO_TARGET,
         calls.RefusalKind.STOPPING,
+        calls.RefusalKind.MISDIRECTED,
         calls.RefusalKind.TARGET_FAILED,
         calls.RefusalKind.DEADLINE_EXCEEDED,
     )
 )
-_FREE_KINDS = frozenset((calls.RefusalKind.NO_TARGET, calls.RefusalKind.STOPPING))
+_FREE_KINDS = frozenset(
+    (
+        calls.RefusalKind.NO_TARGET,
+        calls.RefusalKind.STOPPING,
+        calls.RefusalKind.MISDIRECTED,
+    )
+)
 
 
 class RetryBudgets:
--- a/toucanfold/router.py
+++ b/toucanfold/router.py
@@ -3,7 +3,7 @@
 import hashlib
 import random
 
-from toucanfold import balancers, calls, candidates, model, registry
+from toucanfold import balancers, calls, candidates, crashes, model, registry
 
 BASE_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -135,6 +135,28 @@
         chosen = self._pick_by_tier(now, service, call, exclude, size)
         return None if chosen is None else chosen.target
 
+    def pick_for_suspect(
+        self, service: str, digest: bytes, exclude: frozenset[str] = frozenset()
+    ) -> model.Target | None:
+        """Choose the target of a request under which a target ended.
+
+        All daemons choose the same one, so that repetitions of the request run there
+        one at a time.
+        """
+        known = self._services.get(service)
+        if known is None:
+            return None
+        usable = [
+            item.target
+            for item in known.candidates.values()
+            if not item.is_ejected and item.target.name not in exclude
+        ]
+        return max(
+            usable,
+            key=lambda target: crashes.rank(target.name, digest.hex()),
+            default=None,
+        )
+
     def on_start(self, now: float, name: str, size_bytes: int) -> None:
         """Count a call sent to a target, and its bytes if they leave the region."""
         candidate = self._by_name.get(name)
--- a/toucanfold/store.py
+++ b/toucanfold/store.py
@@ -14,7 +14,7 @@
 from absl import logging
 from returns import result
 
-from toucanfold import commands, exceptions, model
+from toucanfold import commands, crashes, exceptions, model
 
 # Outcomes are kept for a day, in which an operator resends a command whose response
 # was lost. The newest 10,000 outcomes are kept longer.
@@ -481,6 +481,30 @@
     return result.Success((puts, removes))
 
 
+def _plan_add_quarantine(
+    state: model.FleetState, command: commands.AddQuarantine
+) -> Planned:
+    if command.digest in state.quarantines:
+        return result.Success(EMPTY_CHANGE)
+    quarantine = model.Quarantine(command.digest, command.reporter)
+    problem = quarantine.validation_error()
+    if problem:
+        return _validation_failure(problem, "report a fault")
+    oldest = sorted(state.quarantines.values(), key=lambda item: item.revision)
+    surplus = oldest[: max(0, len(oldest) + 1 - crashes.MAX_QUARANTINED)]
+    removes = [("quarantines", item.digest) for item in surplus]
+    return result.Success(([("quarantines", quarantine.to_json())], removes))
+
+
+def _plan_lift_quarantine(
+    state: model.FleetState, command: commands.LiftQuarantine
+) -> Planned:
+    if command.digest not in state.quarantines:
+        message = f"no request {command.digest!r} is quarantined"
+        return _validation_failure(message, "list the quarantines")
+    return result.Success(([], [("quarantines", command.digest)]))
+
+
 _PLANNER_BY_COMMAND: tuple[
     tuple[type[commands.Command], Callable[[Any, Any], Planned]], ...
 ] = (
@@ -493,4 +517,6 @@
     (commands.AssignSlots, _plan_assign_slots),
     (commands.ConfirmEnded, _plan_confirm_ended),
     (commands.ReplaceConfiguration, _plan_replace_configuration),
+    (commands.AddQuarantine, _plan_add_quarantine),
+    (commands.LiftQuarantine, _plan_lift_quarantine),
 )
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -9,6 +9,12 @@
 from toucanfold import calls
 
 RETRY_AFTER_MS = 200
+# Bounds of the numbers in an announcement. A number beyond them would count as newer
+# than all true announcements, or could not be sent to other daemons.
+MAX_START_MS = 1 << 43
+MAX_SEQUENCE = 1 << 53
+MAX_CONCURRENCY_LIMIT = 1_000_000
+MAX_WARMUP_S = 86_400.0
 # Number of terminated instances kept, to reject their delayed announcements.
 MAX_TERMINATED_INSTANCES = 64
 # Id in the recorded departure of a target that does not announce itself. Its label
@@ -46,6 +52,7 @@
 
     __slots__ = (
         "_departed",
+        "_is_listening",
         "_is_unannounced_leaving",
         "_newest",
         "_require_announcement",
@@ -55,6 +62,7 @@
 
     def __init__(self, require_announcement: bool = False):
         self._require_announcement = require_announcement
+        self._is_listening = True
         self._newest: Announcement | None = None
         # Start times (Unix ms) of instances that left or are leaving, by id.
         self._terminated: dict[str, int] = {}
@@ -93,6 +101,8 @@
     @property
     def accepts_calls(self) -> bool:
         """Whether calls may be sent to the target."""
+        if not self._is_listening:
+            return False
         if self._newest is None:
             return not (self._require_announcement or self._is_unannounced_leaving)
         return self._newest.is_ready and not self._is_terminated(self._newest)
@@ -152,6 +162,16 @@
             self._start_unannounced_departure(since_ms)
         return did_accept and not self.accepts_calls
 
+    def on_connection_refused(self) -> bool:
+        """Accept no calls while nothing listens; False if the status is the same."""
+        did_accept = self.accepts_calls
+        self._is_listening = False
+        return did_accept
+
+    def on_listening(self) -> None:
+        """Accept calls again, since the target's address accepts connections."""
+        self._is_listening = True
+
     def on_restarted(self) -> None:
         """Accept calls again for a target without announcements that has restarted."""
         self._is_unannounced_leaving = False
@@ -174,9 +194,12 @@
         """Return the refusal of a call while the target accepts none."""
         kind, message = (
             calls.RefusalKind.NO_TARGET,
-            "the target has not announced itself",
+            "the target has not announced itself"
+            if self._is_listening
+            else "the target has ended",
         )
-        if self._newest is not None or self._is_unannounced_leaving:
+        is_leaving = self._newest is not None or self._is_unannounced_leaving
+        if is_leaving and self._is_listening:
             kind, message = (
                 calls.RefusalKind.STOPPING,
                 f"target {self.instance} is leaving",
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -99,6 +99,8 @@
         self._tls = tls
         # Returns the slots of which this daemon holds a complete copy.
         self.complete_copies: Callable[[], list[messages.SlotMark]] = list
+        # Returns the quarantined requests that control does not know yet.
+        self.quarantined: Callable[[], list[bytes]] = list
         self._watch_state = watchstate.WatchState()
         self.state = self._watch_state.state
         self._callbacks: list[Callback] = []
@@ -125,6 +127,10 @@
         """Start the watch task."""
         self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def wake(self) -> None:
+        """Send the next ping soon."""
+        self._wake.set()
+
     def ping_soon(self) -> None:
         """Send the next ping now if the share holder needs an early one."""
         now = asyncio.get_running_loop().time()
@@ -405,6 +411,7 @@
             announcement=self._announcement,
             raft_term=self._watch_state.raft_term,
             complete=self.complete_copies(),
+            quarantined=self.quarantined(),
         )
         if self._holder is not None:
             ping.raft_term = self._holder.raft_term
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -171,6 +171,8 @@
         }
         if ping.complete:
             packed["complete"] = [dataclasses.astuple(item) for item in ping.complete]
+        if ping.quarantined:
+            packed["quarantined"] = [item.hex() for item in ping.quarantined]
         if ping.demands:
             packed["demands"] = [demand_values(item) for item in ping.demands]
         if ping.shares:
