Refuse numbers out of range and skip unreadable entries

Cause: announcements had no bounds: a start time or sequence of 2^63 hid all later ones, a limit of 2^40 could be sent in no answer, and a number of 400 digits raised OverflowError. Configurations raised past their decoder (numbers beyond a float, a route without a service).

--- a/toucanfold/cluster.py
+++ b/toucanfold/cluster.py
@@ -251,7 +251,7 @@
             answered = await self._leadership.handle(
                 message.kind, json.loads(model.decompress_json(message.payload))
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             answered = result.Failure(
                 exceptions.ValidationError(
                     f"invalid request: {error!r}",
--- a/toucanfold/headerformat.py
+++ b/toucanfold/headerformat.py
@@ -160,7 +160,7 @@
             checked.refusal = calls.Refusal(
                 calls.RefusalKind.OVERLOADED,
                 message="the target refused the call",
-                retry_after_ms=int(text) * 1000 if text.isdigit() else 0,
+                retry_after_ms=_parse_seconds(text) * 1000,
             )
         return checked
 
@@ -226,3 +226,7 @@
     """Return how many earlier sends the caller reports; 0 if unset or invalid."""
     text = headers.find(fields, b"toucanfold-attempt") or b""
     return int(text) if text.isdigit() and len(text) <= 9 else 0
+
+
+def _parse_seconds(text: bytes) -> int:
+    return int(text) if text.isdigit() and len(text) <= 6 else 0
--- a/toucanfold/platform/announcements.py
+++ b/toucanfold/platform/announcements.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import math
 import urllib.parse
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -73,23 +72,25 @@
         info, status = data["info"], data["status"]
         is_ready = _IS_READY_BY_STATE[status["state"]]
         # A target of a version that does not report its start time counts as oldest.
-        started_at_ms = _integer(data.get("born", 0))
+        started_at_ms = _integer(data.get("born", 0), targetstatus.MAX_START_MS)
         warmup_ms = status.get("cold_remaining_ms") or 0
-        if not isinstance(warmup_ms, int | float) or not math.isfinite(warmup_ms):
+        if not 0 <= warmup_ms <= targetstatus.MAX_WARMUP_S * 1000:
             return None
         return targetstatus.Announcement(
             instance,
             started_at_ms,
-            _integer(status["seq"]),
+            _integer(status["seq"], targetstatus.MAX_SEQUENCE),
             is_ready,
-            max(0, _integer(info.get("slots", 0))),
-            max(0.0, warmup_ms / 1000),
+            _integer(info.get("slots", 0), targetstatus.MAX_CONCURRENCY_LIMIT),
+            warmup_ms / 1000,
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
 
 
-def _integer(value: Any) -> int:
+def _integer(value: Any, maximum: int) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not an integer")
+    if not 0 <= value <= maximum:
+        raise ValueError(f"{value!r} is not between 0 and {maximum}")
     return value
--- a/toucanfold/platform/manifests.py
+++ b/toucanfold/platform/manifests.py
@@ -20,6 +20,8 @@
 PATH = "/config"
 _IMPORTANCE_BY_PRIORITY = ("critical", "important", "normal", "background")
 _IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
+# Versions have eight hexadecimal digits.
+MAX_VERSION = 0xFFFFFFFF
 _INVALID = "the configuration cannot be read"
 _MALFORMED = (
     ValueError,
@@ -27,6 +29,7 @@
     TypeError,
     AttributeError,
     IndexError,
+    OverflowError,
     RecursionError,
 )
 
@@ -92,9 +95,9 @@
     """Return the command for a configuration (JSON), or why it is invalid."""
     try:
         text = body.decode("utf-8")
-        content = json.loads(text)
-        version = int(content["version"], 16)
-        base = int(content.get("base_version") or "0", 16)
+        content = json.loads(text, parse_constant=_refuse_constant)
+        version = _version(content["version"])
+        base = _version(content.get("base_version") or "0")
         entities = _entities(content, fleet_secret, rate_bound)
     except _MALFORMED as error:
         return configuration.invalid(f"{_INVALID}: {error!r}")
@@ -103,6 +106,17 @@
     return configuration.command(version, base, content, text, entities)
 
 
+def _version(text: str) -> int:
+    version = int(text, 16)
+    if not 0 <= version <= MAX_VERSION:
+        raise ValueError(f"version {text} is out of range")
+    return version
+
+
+def _refuse_constant(text: str) -> None:
+    raise ValueError(f"{text} is not JSON")
+
+
 def _entities(
     content: dict[str, Any], fleet_secret: bytes, rate_bound: fairshare.OverageBound
 ) -> list[model.Entity]:
@@ -173,11 +187,14 @@
         split[weighted_service["service"]] = (
             split.get(weighted_service["service"], 0) + weighted_service["weight"]
         )
+    service = row.get("service") or next(iter(split), "")
+    if not service:
+        raise ValueError("a route names no service")
     return _make_entity(
         model.Route,
         {
             "name": row["name"],
-            "service": row.get("service") or next(iter(split)),
+            "service": service,
             "profile": profile,
             "path_prefix": row["prefix"],
             "open": bool(row.get("no_auth", False)),
--- a/toucanfold/watchstate.py
+++ b/toucanfold/watchstate.py
@@ -3,6 +3,8 @@
 import json
 import zlib
 
+from absl import logging
+
 from toucanfold import messages, model
 
 # Maximum age of a state that counts as fresh. It is counted from the time at which the
@@ -10,6 +12,16 @@
 FRESHNESS_S = 3.0
 
 
+_UNREADABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    zlib.error,
+)
+
+
 class WatchState:
     """Applies pongs in any order; revision and freshness never decrease."""
 
@@ -71,9 +83,13 @@
         return sent_at
 
     def _apply_updates(self, pong: messages.WatchPong) -> None:
-        if pong.snapshot:
-            fields = json.loads(zlib.decompress(pong.snapshot))
-            if fields["revision"] > self.revision:
-                self.state = model.FleetState.from_json(fields)
-        for data in pong.deltas:
-            model.Delta.from_bytes(data).apply(self.state)
+        """Apply a snapshot and deltas; what cannot be read changes nothing."""
+        try:
+            if pong.snapshot:
+                fields = json.loads(zlib.decompress(pong.snapshot))
+                if fields["revision"] > self.revision:
+                    self.state = model.FleetState.from_json(fields)
+            for data in pong.deltas:
+                model.Delta.from_bytes(data).apply(self.state)
+        except _UNREADABLE as error:
+            logging.warning("unreadable state of revision %d: %r", pong.revision, error)
