Count sent frames by message and distance

Cause: bytes between regions are the largest price on the large site, and nothing told operators or us which messages they are.

Change: each link counts what it sends, by message and by whether the peer is in the same data centre, region or another one; the debug dumps of daemons and control and the daemon's metrics show it.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -128,3 +128,32 @@
         assert isinstance(connected.failure(), exceptions.LinkError)
 
     helpers.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("location", "scope"),
+    [
+        (("r1", "d1"), "data_centre"),
+        (("r1", "d2"), "region"),
+        (("r2", "d3"), "other_region"),
+    ],
+)
+def test_sent_bytes_are_counted_by_message_and_distance(location, scope):
+    """Guards against traffic between regions that nobody can attribute."""
+
+    async def scenario():
+        opener, acceptor = identity("a"), identity("b")
+        opener.region, opener.data_centre = "r1", "d1"
+        acceptor.region, acceptor.data_centre = location
+        server, connected, _ = await pair(opener, acceptor)
+        before = opener.sent.sent_bytes(scope)
+        message = messages.Cancel(7)
+        connected.unwrap().send(message)
+        counted = {(row["message"], row["scope"]): row for row in opener.sent.dump()}
+        assert counted["cancel", scope]["messages"] == 1
+        assert counted["cancel", scope]["bytes"] == len(messages.encode(message))
+        assert opener.sent.sent_bytes(scope) - before == len(messages.encode(message))
+        connected.unwrap().close("end of the test")
+        server.close()
+
+    helpers.run(scenario())
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -243,6 +243,7 @@
             "watchers": self.watchers.dump(),
             "plugins": [module.__name__ for module in plugins.MODULES],
             "leadership": self.leadership.dump(now),
+            "sent": self._identity.sent.dump(),
             "metrics": self.metrics.dump(),
         }
 
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -53,6 +53,7 @@
     router,
     targetstatus,
     tls,
+    traffic,
     watch,
 )
 
@@ -335,6 +336,7 @@
                 "quarantined": self.crash_ledger.quarantined,
             },
             "links": self.peers.dump(),
+            "sent": self._identity.sent.dump(),
             "routing": self.router.describe(asyncio.get_running_loop().time()),
             "plugins": [module.__name__ for module in plugins.MODULES],
             "metrics": self.metrics.dump(),
@@ -360,6 +362,8 @@
             "revision": self.source.state.revision,
             "fresh": int(self.source.is_fresh(now)),
         }
+        for scope in traffic.SCOPES:
+            gauges[f"sent_bytes_{scope}"] = self._identity.sent.sent_bytes(scope)
         return exposition.CONTENT_TYPE, exposition.render(self.metrics.dump(), gauges)
 
     def _is_empty(self) -> bool:
--- a/toucanfold/link.py
+++ b/toucanfold/link.py
@@ -12,7 +12,7 @@
 from absl import logging
 from returns import result
 
-from toucanfold import exceptions, messages
+from toucanfold import exceptions, messages, traffic
 
 HEARTBEAT_INTERVAL_S = 0.5
 FRAME_TIMEOUT_S = 1.5
@@ -36,6 +36,10 @@
     incarnation: int
     region: str = ""
     data_centre: str = ""
+    # Counts what the process sends over all links.
+    sent: traffic.TrafficCounter = dataclasses.field(
+        default_factory=traffic.TrafficCounter, compare=False
+    )
 
     def hello(self) -> messages.Hello:
         """Return a hello with a fresh nonce."""
@@ -85,6 +89,7 @@
         self._handler = owner
         self._is_initiator = opener
         self._own_hello = identity.hello()
+        self._scope = "unknown"
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._authenticated = False
@@ -205,6 +210,10 @@
             self.close(f"the peer belongs to fleet {hello.fleet!r}")
             return
         self.peer = hello
+        self._scope = traffic.scope_of(
+            (self._identity.region, self._identity.data_centre),
+            (hello.region, hello.data_centre),
+        )
         if self._is_initiator:
             self._write(messages.Proof(self._proof(b"opener")))
         else:
@@ -264,7 +273,9 @@
 
     def _write(self, message: messages.Message) -> None:
         if self._transport is not None:
-            self._transport.write(messages.encode(message))
+            frame = messages.encode(message)
+            self._identity.sent.on_sent(message.TAG, self._scope, len(frame))
+            self._transport.write(frame)
 
 
 def split_address(address: str) -> tuple[str, int]:
