Send the start of many daemons and rounds of reads in fewer bytes

Each daemon announces itself, and each of these changes goes to all daemons, as JSON of its own. Most daemons still watched an instance of another region then: the early move to the nearest instance was open only until the first list of members arrived, and the nearest one mostly joined control after that, so they stayed for 10 s. On the small twin most bytes were rounds of messages that confirm reads, back to back.

Change: deltas of a pong are compressed together for daemons that accept it; a daemon moves at once when a nearer instance appears among the members; announcements that the fleet state has recorded are left out of pings; rounds of reads start at least 50 ms apart.

--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -209,6 +209,7 @@
   raftTerm @5 :UInt64;
   complete @6 :List(SlotMark);
   quarantined @7 :List(Data);
+  acceptsPackedDeltas @8 :Bool;
 }
 
 struct WatchPong {
@@ -220,6 +221,7 @@
   shares @5 :List(Share);
   raftTerm @6 :UInt64;
   instances @7 :List(Instance);
+  packedDeltas @8 :Data;
 }
 
 struct Instance {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -342,6 +342,7 @@
     complete: list[SlotMark] = dataclasses.field(default_factory=list)
     # Digests of requests that the sender quarantines and the fleet state does not.
     quarantined: list[bytes] = dataclasses.field(default_factory=list)
+    accepts_packed_deltas: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -368,6 +369,8 @@
     shares: list[Share] = dataclasses.field(default_factory=list)
     raft_term: int = 0
     instances: list[Instance] = dataclasses.field(default_factory=list)
+    # All deltas in one compressed piece, instead of deltas.
+    packed_deltas: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/model.py
+++ b/toucanfold/model.py
@@ -34,6 +34,7 @@
 CONFIGURATION_NAME = "current"
 # Shorter JSON gains too little from compression.
 MIN_COMPRESSED_INPUT_BYTES = 512
+PACKED_DELTAS_LEVEL = 6
 # Hexadecimal digits of the keyed hash that form the id of an imported key (96 bits).
 IMPORTED_ID_DIGITS = 24
 # No JSON text begins with this byte.
@@ -604,6 +605,26 @@
         logging.warning("unreadable entry of table %r skipped: %s", table, error)
 
 
+def pack_deltas(deltas: list[bytes]) -> bytes:
+    """Return encoded deltas in one compressed piece; their texts are much alike."""
+    parts = (len(data).to_bytes(4, "big") + data for data in deltas)
+    return zlib.compress(b"".join(parts), PACKED_DELTAS_LEVEL)
+
+
+def unpack_deltas(packed: bytes) -> list[bytes]:
+    """Return what pack_deltas was given; ValueError if it is corrupt."""
+    try:
+        joined = zlib.decompress(packed)
+    except zlib.error as error:
+        raise ValueError(f"not packed deltas: {error}") from error
+    deltas, position = [], 0
+    while position < len(joined):
+        start = position + 4
+        position = start + int.from_bytes(joined[start - 4 : start], "big")
+        deltas.append(joined[start:position])
+    return deltas
+
+
 def compress_json(text: bytes) -> bytes:
     """Return JSON as it is, or compressed if it is long."""
     if len(text) < MIN_COMPRESSED_INPUT_BYTES:
--- a/toucanfold/replication.py
+++ b/toucanfold/replication.py
@@ -11,6 +11,8 @@
 # Entries sent to a follower beyond the last that it acknowledged.
 MAX_INFLIGHT_ENTRIES = 2048
 CHUNK_RESEND_DELAY_S = 0.3
+# Reads that wait share a round of messages; rounds start at least this far apart.
+READ_ROUND_INTERVAL_S = 0.05
 
 
 class _Progress:
@@ -99,7 +101,7 @@
         self._progress: dict[str, _Progress] = {}
         self._reads: list[tuple[int, int]] = []
         self._sent_read_sequence = 0
-        self._read_round_started_at = now
+        self._read_round_started_at = now - READ_ROUND_INTERVAL_S
         self._transfer_deadline = 0.0
         self.read_sequence = 0
         self.transfer_to = ""
@@ -230,7 +232,7 @@
         if self.read_sequence == self._sent_read_sequence:
             return False
         if self._confirmed_read_sequence() >= self._sent_read_sequence:
-            return True
+            return now >= self._read_round_started_at + READ_ROUND_INTERVAL_S
         return now >= self._read_round_started_at + HEARTBEAT_INTERVAL_S
 
     def _confirmed_read_sequence(self) -> int:
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -1,7 +1,9 @@
 """Daemon's side of the watch: one link to the nearest working control instance."""
 
 import asyncio
+import dataclasses
 import hashlib
+import operator
 import random
 import secrets
 import ssl
@@ -39,6 +41,10 @@
 FAILBACK_DELAY_S = 10.0
 ANNOUNCE_TIMEOUT_S = 3.0
 
+_values_of = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(messages.Announcement))
+)
+
 Callback = Callable[[model.FleetState], None]
 
 
@@ -94,6 +100,7 @@
         # The addresses of the settings; instances reported by control precede them.
         self._seeds = list(addresses)
         self._may_fail_back_early = False
+        self._reported_instances: frozenset[str] = frozenset()
         self._announcement = announcement
         self._holder = holder
         self._tls = tls
@@ -237,8 +244,11 @@
 
         reported = [item.address for item in sorted(instances, key=distance)]
         others = [address for address in self._seeds if address not in reported]
-        # The first failback to the nearest instance does not wait for FAILBACK_DELAY_S.
-        self._may_fail_back_early = self._addresses == self._seeds
+        # The first failback to an instance does not wait for FAILBACK_DELAY_S, also if
+        # the instance has joined control after this daemon started.
+        if reported[0] not in self._reported_instances:
+            self._may_fail_back_early = True
+        self._reported_instances = frozenset(reported)
         self._addresses = reported + others
 
     def _publish_state(self, now: float) -> None:
@@ -404,14 +414,24 @@
             return True
         return self._holder is not None and self._holder.needs_early_ping(now)
 
+    def _unrecorded_announcement(self) -> messages.Announcement:
+        """Return the announcement, an empty one if control has recorded it."""
+        recorded = self.state.targets.get(self._announcement.name)
+        if recorded is not None and _values_of(recorded) == _values_of(
+            self._announcement
+        ):
+            return messages.Announcement()
+        return self._announcement
+
     def _send_ping(self, now: float) -> None:
         ping = messages.WatchPing(
             sequence=self._watch_state.on_ping_sent(now),
             applied_revision=self._watch_state.revision,
-            announcement=self._announcement,
+            announcement=self._unrecorded_announcement(),
             raft_term=self._watch_state.raft_term,
             complete=self.complete_copies(),
             quarantined=self.quarantined(),
+            accepts_packed_deltas=True,
         )
         if self._holder is not None:
             ping.raft_term = self._holder.raft_term
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -8,7 +8,7 @@
 from absl import logging
 from returns import result
 
-from toucanfold import cluster, leadership, link, messages, store
+from toucanfold import cluster, leadership, link, messages, model, store
 
 # Minimum time between two requests to the leader. Pings that arrive in between share
 # one confirmation of leadership.
@@ -66,6 +66,9 @@
         self._pending_pings: dict[link.Link, tuple[Session, messages.WatchPing]] = {}
         self._batch_timer: asyncio.TimerHandle | None = None
         self._batch_started_at = float("-inf")
+        # Packed deltas up to one revision, by the revision that they follow.
+        self._packed_revision = -1
+        self._packed_deltas: dict[int, bytes] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __len__(self) -> int:
@@ -205,8 +208,24 @@
         if instances != session.instances:
             session.instances = pong.instances = instances
         deltas = self._store.deltas_since(ping.applied_revision, MAX_DELTA_BYTES)
-        if deltas is not None:
+        if deltas is not None and ping.accepts_packed_deltas:
+            self._add_packed_deltas(pong, ping.applied_revision, deltas)
+        elif deltas is not None:
             pong.deltas = deltas
         elif ping.applied_revision < self._store.revision:
             pong.snapshot = self._store.watch_snapshot()
         return pong
+
+    def _add_packed_deltas(
+        self, pong: messages.WatchPong, applied_revision: int, deltas: list[bytes]
+    ) -> None:
+        if sum(map(len, deltas)) < model.MIN_COMPRESSED_INPUT_BYTES:
+            pong.deltas = deltas
+            return
+        if self._packed_revision != pong.revision:
+            self._packed_revision = pong.revision
+            self._packed_deltas = {}
+        packed = self._packed_deltas.get(applied_revision)
+        if packed is None:
+            packed = self._packed_deltas[applied_revision] = model.pack_deltas(deltas)
+        pong.packed_deltas = packed
--- a/toucanfold/watchstate.py
+++ b/toucanfold/watchstate.py
@@ -89,7 +89,10 @@
                 fields = json.loads(zlib.decompress(pong.snapshot))
                 if fields["revision"] > self.revision:
                     self.state = model.FleetState.from_json(fields)
-            for data in pong.deltas:
+            deltas = pong.deltas
+            if pong.packed_deltas:
+                deltas = model.unpack_deltas(pong.packed_deltas)
+            for data in deltas:
                 model.Delta.from_bytes(data).apply(self.state)
         except _UNREADABLE as error:
             logging.warning("unreadable state of revision %d: %r", pong.revision, error)
