Round reported demands and compress JSON between instances further

Cause: reports of demand cross regions in JSON with 17 digits a value, and long JSON was compressed at the fastest level.

Change: reported demands have three decimals; shares and grants, which are books, keep all digits. The usual level of zlib.

--- a/toucanfold/limits.py
+++ b/toucanfold/limits.py
@@ -60,6 +60,8 @@
 WAITING_CALLS_S = 2 * MAX_WAIT_S
 MAX_WAITING_CALLS = 1000
 EPSILON = 1e-9
+# Decimals of the values in a report of demand, which crosses regions in JSON.
+DEMAND_DIGITS = 3
 
 
 class AcquireStatus(enum.Enum):
@@ -391,7 +393,10 @@
             tokens = self.available(now, name)
             if wanted > 0 or tokens < lease.bucket.burst:
                 rate = lease.meter.rate(now)
-                result.append(messages.Demand(name, rate, wanted, tokens))
+                values = (
+                    round(value, DEMAND_DIGITS) for value in (rate, wanted, tokens)
+                )
+                result.append(messages.Demand(name, *values))
         return result
 
     def report_shares(self, now: float) -> list[messages.Share]:
--- a/toucanfold/model.py
+++ b/toucanfold/model.py
@@ -34,7 +34,7 @@
 CONFIGURATION_NAME = "current"
 # Shorter JSON gains too little from compression.
 MIN_COMPRESSED_INPUT_BYTES = 512
-PACKED_DELTAS_LEVEL = 6
+COMPRESSION_LEVEL = 6
 # Hexadecimal digits of the keyed hash that form the id of an imported key (96 bits).
 IMPORTED_ID_DIGITS = 24
 # No JSON text begins with this byte.
@@ -608,7 +608,7 @@
 def pack_deltas(deltas: list[bytes]) -> bytes:
     """Return encoded deltas in one compressed piece; their texts are much alike."""
     parts = (len(data).to_bytes(4, "big") + data for data in deltas)
-    return zlib.compress(b"".join(parts), PACKED_DELTAS_LEVEL)
+    return zlib.compress(b"".join(parts), COMPRESSION_LEVEL)
 
 
 def unpack_deltas(packed: bytes) -> list[bytes]:
@@ -629,7 +629,7 @@
     """Return JSON as it is, or compressed if it is long."""
     if len(text) < MIN_COMPRESSED_INPUT_BYTES:
         return text
-    return COMPRESSED_PREFIX + zlib.compress(text, 1)
+    return COMPRESSED_PREFIX + zlib.compress(text, COMPRESSION_LEVEL)
 
 
 def decompress_json(data: bytes) -> bytes:
