Watch the nearest seed from the first connection on

Cause: a daemon that starts took the first seed of its settings, which is the same for all, so most of 195 daemons followed the changes of the start from another region.

Change: a daemon that starts opens links to all seeds and uses the nearest of those that are open after 0.2 s.

--- a/tests/test_watchtraffic.py
+++ b/tests/test_watchtraffic.py
@@ -124,3 +124,37 @@
         await asyncio.sleep(0)
 
     helpers.run(scenario())
+
+
+def test_daemon_that_starts_watches_the_nearest_seed():
+    """Guards against a start of many daemons that all watch another region."""
+
+    async def scenario():
+        servers, addresses = [], []
+        for region, data_centre in (("r2", "d3"), ("r1", "d2"), ("r1", "d1")):
+            identity = link.Identity(
+                "f", helpers.SECRET, "control", data_centre, 1, region, data_centre
+            )
+            addresses.append(helpers.free_address())
+            servers.append(await link.listen(addresses[-1], identity, _NoHandler()))
+        addresses.append(helpers.free_address())
+        watched = helpers.make_watch("d", addresses)
+        watched._identity.region, watched._identity.data_centre = "r1", "d1"
+        assert await watched._connect()
+        assert watched.dump(0.0)["control"] == addresses[2]
+        watched._link.close("end of the test")
+        for server in servers:
+            server.close()
+
+    helpers.run(scenario())
+
+
+class _NoHandler:
+    def on_open(self, opened):
+        pass
+
+    def on_message(self, source, message):
+        pass
+
+    def on_close(self, closed, reason):
+        pass
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -34,6 +34,9 @@
 RETRY_DELAY_S = 0.2
 # Two instances that do not answer must not use up the 3 s of freshness, hence 0.7 s.
 CONNECT_TIMEOUT_S = 0.7
+# A daemon that starts opens links to all seeds and uses the nearest that is open after
+# this time.
+SEED_COMPARISON_S = 0.2
 # For this time a failed instance is tried only after the others.
 ADDRESS_BACKOFF_S = 5.0
 # Time after which a daemon fails back from a farther instance to the nearest one. Its
@@ -234,13 +237,10 @@
         """Use the current members of control as addresses, nearest first."""
         own = self._identity
 
-        def distance(instance: messages.Instance) -> tuple[bool, bool, bytes]:
+        def distance(instance: messages.Instance) -> tuple[tuple[bool, bool], bytes]:
             text = f"{own.name} {instance.address}".encode()
-            return (
-                instance.data_centre != own.data_centre,
-                instance.region != own.region,
-                hashlib.blake2b(text, digest_size=8).digest(),
-            )
+            digest = hashlib.blake2b(text, digest_size=8).digest()
+            return self._distance(instance.region, instance.data_centre), digest
 
         reported = [item.address for item in sorted(instances, key=distance)]
         others = [address for address in self._seeds if address not in reported]
@@ -251,6 +251,10 @@
         self._reported_instances = frozenset(reported)
         self._addresses = reported + others
 
+    def _distance(self, region: str, data_centre: str) -> tuple[bool, bool]:
+        own = self._identity
+        return data_centre != own.data_centre, region != own.region
+
     def _publish_state(self, now: float) -> None:
         self.state = self._watch_state.state
         if self._holder is not None:
@@ -301,6 +305,8 @@
     async def _connect(self) -> bool:
         loop = asyncio.get_running_loop()
         now = loop.time()
+        if not self._address and await self._open_nearest_seed():
+            return True
         order = sorted(
             self._addresses, key=lambda item: self._backoff_until.get(item, 0.0) > now
         )
@@ -312,6 +318,32 @@
             self._backoff_until[address] = loop.time() + ADDRESS_BACKOFF_S
         return False
 
+    async def _open_nearest_seed(self) -> bool:
+        """Use the nearest of the seeds; False if none answers at once."""
+        opening = {
+            asyncio.ensure_future(self._open_link(address)): address
+            for address in self._addresses
+        }
+        done, late = await asyncio.wait(opening, timeout=SEED_COMPARISON_S)
+        for task in late:
+            task.add_done_callback(_close_unneeded_link)
+        links = [
+            (self._distance(opened.peer.region, opened.peer.data_centre), address)
+            for task, address in opening.items()
+            if task in done
+            and (opened := task.result()) is not None
+            and opened.peer is not None
+        ]
+        if not links:
+            return False
+        _, nearest = min(links, key=lambda item: item[0])
+        for task in done:
+            if opening[task] != nearest:
+                _close_unneeded_link(task)
+            elif (opened := task.result()) is not None:
+                self._use_link(opened, nearest)
+        return True
+
     async def _open_link(self, address: str) -> link.Link | None:
         connecting = asyncio.ensure_future(
             link.connect(address, self._identity, self, self._tls)
@@ -441,6 +473,13 @@
             self._link.send(ping)
 
 
+def _close_unneeded_link(opening: "asyncio.Future[link.Link | None]") -> None:
+    if not opening.cancelled() and opening.exception() is None:
+        opened = opening.result()
+        if opened is not None:
+            opened.close("a nearer control instance was chosen")
+
+
 def _close_unused_link(connecting: "asyncio.Future[Any]") -> None:
     if not connecting.cancelled() and connecting.exception() is None:
         opened = connecting.result().value_or(None)
