Take a target for ended only if it refuses connections

Cause, found by reading the diff: a check that timed out counted as an end, so a loaded target that accepts slowly and lost one connection would have got no calls, and its requests would have become suspects. Where a new call noticed the refused connection first, the target counted as leaving and the crash was not recorded. Suspects that nobody asked for stayed, and with them a digest of every call. A quarantined resend kept the token of the retry budget.

Change: only a refused connection tells that a target has ended; leaving and not listening are told apart; the ledger expires every 5 s; the token is returned.

Measured: three new tests in tests/test_crashes.py.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,7 +1,9 @@
 """Tests of requests under which targets end, from the decision to real connections."""
 
 import asyncio
+import contextlib
 import random
+import socket
 
 import fleetparts
 import helpers
@@ -21,6 +23,7 @@
     messages,
     metrics,
     model,
+    restartwatch,
     retries,
     router,
     store,
@@ -439,6 +442,60 @@
     helpers.run(scenario())
 
 
+def test_crash_counts_although_a_new_connection_was_refused_first():
+    """Guards against evidence that is lost because another call noticed the end."""
+
+    async def scenario():
+        state = fleetparts.fleet_state(attempts=0)
+        async with fleetparts.Fleet(state) as fleet:
+            [mortal] = await _mortal_fleet(fleet, 1)
+            daemon = fleet.daemons["d0"]
+            deadly = asyncio.ensure_future(
+                fleetparts.fetch(fleet.address("d0"), path="/deadly")
+            )
+            await helpers.eventually(lambda: daemon.dispatcher._sent)
+            daemon.dispatcher._on_connection_refused()
+            await deadly
+            assert mortal.ended == 1
+            assert daemon.crash_ledger.suspected == 1
+
+    helpers.run(scenario())
+
+
+def test_suspects_that_nobody_asks_for_are_forgotten():
+    """Guards against a digest of every call long after the last crash."""
+    ledger = crashes.CrashLedger()
+    ledger.on_crash(0.0, "c1", [GUILTY, FIRST])
+    ledger.expire(crashes.SUSPICION_S - 1.0)
+    assert ledger.suspected == 2
+    ledger.expire(crashes.SUSPICION_S + 0.1)
+    assert ledger.is_empty
+
+
+def test_slow_target_that_loses_a_connection_is_not_taken_for_an_ended_one():
+    """Guards against a loaded target that gets no calls because it accepts slowly."""
+
+    async def scenario():
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            address = f"127.0.0.1:{full.getsockname()[1]}"
+            writers = []
+            for _ in range(3):
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.1):
+                        _, writer = await asyncio.open_connection(
+                            *link.split_address(address)
+                        )
+                        writers.append(writer)
+            assert not await restartwatch.refuses_connections(address)
+            for writer in writers:
+                writer.close()
+        assert await restartwatch.refuses_connections(address)
+
+    helpers.run(scenario())
+
+
 def test_quarantine_is_recorded_by_control_and_lifted_by_operators():
     """Guards against a quarantine that is lost with the instance that found it."""
 
--- a/toucanfold/crashes.py
+++ b/toucanfold/crashes.py
@@ -149,6 +149,13 @@
         """Clear a request that a target has answered; return if it was a suspect."""
         return self._suspects.pop(digest, None) is not None
 
+    def expire(self, now: float) -> None:
+        """Remove suspects and quarantines whose time has passed."""
+        for digest in list(self._suspects):
+            self.crash_ids(now, digest)
+        for digest in list(self._quarantined):
+            self.is_quarantined(now, digest)
+
     def crashes_of(self, now: float, digest: bytes) -> int:
         """Return the number of crashes under a request, 0 if it is no suspect."""
         return len(self.crash_ids(now, digest))
--- a/toucanfold/crashguard.py
+++ b/toucanfold/crashguard.py
@@ -15,6 +15,7 @@
 MAX_SUSPECT_WAIT_S = 0.5
 MAX_SUSPECT_WAIT_FRACTION = 0.25
 RETRY_AFTER_MS = 500
+EXPIRY_INTERVAL_S = 5.0
 # Daemons of each other region that get a report and pass it on; one may be lost.
 RELAYS_PER_REGION = 2
 
@@ -42,6 +43,7 @@
         "_loop",
         "_metrics",
         "_name",
+        "_next_expiry_at",
         "_targets_of_service",
         "on_quarantined",
     )
@@ -60,12 +62,19 @@
         self._metrics = measured
         self._targets_of_service = targets_of_service
         self._loop = asyncio.get_running_loop()
+        self._next_expiry_at = 0.0
         # Called when a request has been quarantined here.
         self.on_quarantined: Callable[[], None] | None = None
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is suspected or quarantined."""
+        if self._ledger.is_empty:
+            return True
+        now = self._loop.time()
+        if now >= self._next_expiry_at:
+            self._next_expiry_at = now + EXPIRY_INTERVAL_S
+            self._ledger.expire(now)
         return self._ledger.is_empty
 
     def on_crash(self, crash: str, running: list[calls.Call]) -> None:
@@ -121,7 +130,11 @@
         if answer.crash:
             now, digest = self._loop.time(), crashes.digest_of(call)
             self._ledger.on_crash_under(now, answer.crash, [digest])
-        elif answer.refusal is None and not self._ledger.is_empty:
+        elif (
+            answer.refusal is None
+            and answer.body_stream is None
+            and not self._ledger.is_empty
+        ):
             self._ledger.on_completed(crashes.digest_of(call))
 
     def on_completed(self, digest: bytes) -> None:
--- a/toucanfold/dispatch.py
+++ b/toucanfold/dispatch.py
@@ -408,8 +408,8 @@
         self._crash_check = None
 
     async def _find_crash(self) -> str:
-        was_leaving = not self._target_status.accepts_calls
-        if await restartwatch.is_address_listening(self.pool.address):
+        was_leaving = self._target_status.is_leaving
+        if not await restartwatch.refuses_connections(self.pool.address):
             return ""
         self._on_connection_refused()
         if was_leaving:
--- a/toucanfold/entry.py
+++ b/toucanfold/entry.py
@@ -278,6 +278,8 @@
                     retry_after_ms=max(1, int(wait_s * 1000)),
                 )
         answer = await self._forwarder.run(call)
+        if is_resend and _is_quarantined(answer):
+            self._budgets.return_token(call.service)
         now = self._loop.time()
         if account is None and self._header_format.egress_via_entry:
             # Requests without a key are nested calls of the local target. Refusing one
@@ -355,6 +357,11 @@
     return None if stream is None else keyguard.KeyFilter(stream)
 
 
+def _is_quarantined(answer: calls.Answer) -> bool:
+    refusal = answer.refusal
+    return refusal is not None and refusal.kind is calls.RefusalKind.QUARANTINED
+
+
 def _stopping() -> calls.Refusal:
     return calls.Refusal(calls.RefusalKind.STOPPING, message="this daemon is stopping")
 
--- a/toucanfold/restartwatch.py
+++ b/toucanfold/restartwatch.py
@@ -33,6 +33,20 @@
         await asyncio.sleep(LISTENING_POLL_INTERVAL_S)
 
 
+async def refuses_connections(address: str) -> bool:
+    """Whether nothing listens at the address; False if that is not certain."""
+    host, port = link.split_address(address)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
 async def is_address_listening(address: str) -> bool:
     """Whether a connection to the address is accepted within CONNECT_TIMEOUT_S."""
     host, port = link.split_address(address)
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -101,11 +101,15 @@
     @property
     def accepts_calls(self) -> bool:
         """Whether calls may be sent to the target."""
-        if not self._is_listening:
-            return False
+        is_known = self._newest is not None or not self._require_announcement
+        return self._is_listening and is_known and not self.is_leaving
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target stated that it is leaving or not ready."""
         if self._newest is None:
-            return not (self._require_announcement or self._is_unannounced_leaving)
-        return self._newest.is_ready and not self._is_terminated(self._newest)
+            return self._is_unannounced_leaving
+        return not self._newest.is_ready or self._is_terminated(self._newest)
 
     @property
     def awaits_restart(self) -> bool:
