Keep daemons at their nearest control instance when seeds change

Cause: members of control that were also among the old seeds were dropped from the order of addresses when the settings named other seeds.

Change: the members that control reported keep their order and precede the seeds.

Measured: tests/test_watchtraffic.py::test_changed_seeds_leave_a_daemon_at_its_nearest_instance fails before and passes now.

--- a/tests/test_watchtraffic.py
+++ b/tests/test_watchtraffic.py
@@ -126,6 +126,24 @@
     helpers.run(scenario())
 
 
+def test_changed_seeds_leave_a_daemon_at_its_nearest_instance():
+    """Guards against daemons that move to another region when their seeds change."""
+
+    async def scenario():
+        watched = helpers.make_watch("d", ["near:1", "far:1"])
+        watched._identity = link.Identity("f", b"", "daemon", "d", 1, "r1", "d1")
+        near = messages.Instance("near:1", "r1", "d1")
+        far = [messages.Instance(f"far:{number}", "r2", "d2") for number in (1, 2)]
+        watched._update_addresses([*far, near])
+        watched._address = "near:1"
+        watched.set_control_addresses(["far:2", "new:1"])
+        assert not watched._should_fail_back(60.0, 0.0)
+        assert watched._addresses[0] == "near:1"
+        assert watched._addresses[-1] == "new:1"
+
+    helpers.run(scenario())
+
+
 def test_daemon_that_starts_watches_the_nearest_seed():
     """Guards against a start of many daemons that all watch another region."""
 
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -103,7 +103,8 @@
         # The addresses of the settings; instances reported by control precede them.
         self._seeds = list(addresses)
         self._may_fail_back_early = False
-        self._reported_instances: frozenset[str] = frozenset()
+        # Addresses of the members of control, nearest first.
+        self._reported_instances: list[str] = []
         self._announcement = announcement
         self._holder = holder
         self._tls = tls
@@ -149,11 +150,8 @@
 
     def set_control_addresses(self, addresses: list[str]) -> None:
         """Use addresses of changed settings, after instances reported by control."""
-        reported = [item for item in self._addresses if item not in self._seeds]
         self._seeds = list(addresses)
-        self._addresses = reported + [
-            item for item in addresses if item not in reported
-        ]
+        self._order_addresses()
 
     def announce_as(self, is_ready: bool) -> None:
         """Set the state that is announced first; to be called before start."""
@@ -243,13 +241,18 @@
             return self._distance(instance.region, instance.data_centre), digest
 
         reported = [item.address for item in sorted(instances, key=distance)]
-        others = [address for address in self._seeds if address not in reported]
         # The first failback to an instance does not wait for FAILBACK_DELAY_S, also if
         # the instance has joined control after this daemon started.
         if reported[0] not in self._reported_instances:
             self._may_fail_back_early = True
-        self._reported_instances = frozenset(reported)
-        self._addresses = reported + others
+        self._reported_instances = reported
+        self._order_addresses()
+
+    def _order_addresses(self) -> None:
+        reported = self._reported_instances
+        self._addresses = reported + [
+            address for address in self._seeds if address not in reported
+        ]
 
     def _distance(self, region: str, data_centre: str) -> tuple[bool, bool]:
         own = self._identity
