Use plain terms for crashing requests, and one link handler in tests

Cause: names and pages of the crash guard used words that are not the field's, and two test files had the same handler.

Measured: no change of behaviour.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -211,3 +211,16 @@
         status = self._process.wait(10)
         self._process = None
         return status
+
+
+class NullLinkHandler:
+    """A link handler that does nothing."""
+
+    def on_open(self, opened):
+        pass
+
+    def on_message(self, source, message):
+        pass
+
+    def on_close(self, closed, reason):
+        pass
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -29,49 +29,49 @@
     store,
 )
 
-GUILTY, FIRST, SECOND = (bytes([number]) * 16 for number in (1, 2, 3))
+CRASHING, FIRST, SECOND = (bytes([number]) * 16 for number in (1, 2, 3))
 
 
 def test_request_is_quarantined_once_it_alone_repeats():
     """Guards against more targets that end under a request than are needed."""
     ledger = crashes.CrashLedger()
-    assert ledger.on_crash(0.0, "c1", [GUILTY, FIRST]) == []
-    assert ledger.on_crash(0.2, "c2", [GUILTY, SECOND]) == [GUILTY]
-    assert ledger.is_quarantined(0.3, GUILTY)
+    assert ledger.on_crash(0.0, "c1", [CRASHING, FIRST]) == []
+    assert ledger.on_crash(0.2, "c2", [CRASHING, SECOND]) == [CRASHING]
+    assert ledger.is_quarantined(0.3, CRASHING)
     assert not ledger.is_quarantined(0.3, FIRST)
 
 
-def test_requests_that_only_ran_beside_a_guilty_one_are_not_quarantined():
-    """Guards against a quarantine of innocent requests that were sent again with it."""
+def test_requests_that_only_ran_beside_a_crashing_one_are_not_quarantined():
+    """Guards against a quarantine of requests that were only sent again with it."""
     ledger = crashes.CrashLedger()
-    ledger.on_crash(0.0, "c1", [GUILTY, FIRST])
-    assert ledger.on_crash(0.2, "c2", [GUILTY, FIRST]) == []
+    ledger.on_crash(0.0, "c1", [CRASHING, FIRST])
+    assert ledger.on_crash(0.2, "c2", [CRASHING, FIRST]) == []
     ledger.on_completed(FIRST)
-    assert ledger.on_crash(0.4, "c3", [GUILTY, FIRST]) == [GUILTY]
+    assert ledger.on_crash(0.4, "c3", [CRASHING, FIRST]) == [CRASHING]
     assert not ledger.is_quarantined(0.5, FIRST)
 
 
 def test_request_is_not_quarantined_while_others_of_its_crash_are_unknown():
-    """Guards against a quarantine of the innocent one of two repeated requests."""
+    """Guards against a quarantine of the unrelated one of two repeated requests."""
     ledger = crashes.CrashLedger()
     ledger.on_crash_under(0.0, "c1", [FIRST])
-    assert ledger.on_crash(0.2, "c2", [GUILTY, FIRST]) == []
-    assert ledger.on_crash(0.3, "c1", [GUILTY, FIRST]) == []
+    assert ledger.on_crash(0.2, "c2", [CRASHING, FIRST]) == []
+    assert ledger.on_crash(0.3, "c1", [CRASHING, FIRST]) == []
     ledger.on_completed(FIRST)
-    assert ledger.on_crash(0.4, "c3", [GUILTY]) == [GUILTY]
+    assert ledger.on_crash(0.4, "c3", [CRASHING]) == [CRASHING]
 
 
 def test_requests_beside_a_quarantined_one_are_cleared():
     """Guards against suspicion that a known cause has explained."""
     ledger = crashes.CrashLedger()
-    ledger.on_crash(0.0, "c1", [GUILTY, FIRST])
-    assert ledger.on_crash(0.2, "c2", [GUILTY, SECOND]) == [GUILTY]
-    assert ledger.on_crash(0.3, "c3", [GUILTY, FIRST]) == []
+    ledger.on_crash(0.0, "c1", [CRASHING, FIRST])
+    assert ledger.on_crash(0.2, "c2", [CRASHING, SECOND]) == [CRASHING]
+    assert ledger.on_crash(0.3, "c3", [CRASHING, FIRST]) == []
     assert ledger.suspected == 0
     assert ledger.on_crash(0.4, "c4", [FIRST]) == []
 
 
-def test_crashes_without_a_guilty_request_quarantine_none_that_completes():
+def test_crashes_without_a_cause_quarantine_none_that_completes():
     """Guards against quarantines of popular requests while targets flap."""
     ledger = crashes.CrashLedger()
     for number in range(50):
@@ -85,35 +85,35 @@
 def test_repeated_reports_of_one_crash_count_once():
     """Guards against a quarantine after one crash that several instances report."""
     ledger = crashes.CrashLedger()
-    ledger.on_crash_under(0.0, "c1", [GUILTY])
+    ledger.on_crash_under(0.0, "c1", [CRASHING])
     for _ in range(3):
-        assert ledger.on_crash(0.1, "c1", [GUILTY]) == []
-    assert ledger.crashes_of(0.2, GUILTY) == 1
+        assert ledger.on_crash(0.1, "c1", [CRASHING]) == []
+    assert ledger.crashes_of(0.2, CRASHING) == 1
 
 
 def test_suspicion_and_quarantine_end():
     """Guards against requests that are held back for ever."""
     ledger = crashes.CrashLedger()
-    ledger.on_crash(0.0, "c1", [GUILTY, FIRST])
-    ledger.on_crash(1.0, "c2", [GUILTY])
+    ledger.on_crash(0.0, "c1", [CRASHING, FIRST])
+    ledger.on_crash(1.0, "c2", [CRASHING])
     ends_at = 1.0 + crashes.QUARANTINE_S
     assert ledger.crashes_of(crashes.SUSPICION_S + 0.1, FIRST) == 0
-    assert ledger.retry_after_s(2.0, GUILTY) == pytest.approx(ends_at - 2.0)
-    assert not ledger.is_quarantined(ends_at, GUILTY)
+    assert ledger.retry_after_s(2.0, CRASHING) == pytest.approx(ends_at - 2.0)
+    assert not ledger.is_quarantined(ends_at, CRASHING)
     # A former quarantine is renewed by a single crash.
-    assert ledger.on_crash(ends_at + 5.0, "c3", [GUILTY]) == [GUILTY]
+    assert ledger.on_crash(ends_at + 5.0, "c3", [CRASHING]) == [CRASHING]
 
 
 def test_lifted_quarantine_allows_the_request_again():
     """Guards against an instance that reports a lifted quarantine again."""
     ledger = crashes.CrashLedger()
-    ledger.on_crash(0.0, "c1", [GUILTY])
-    ledger.on_crash(0.2, "c2", [GUILTY])
-    assert ledger.unrecorded(0.3) == [GUILTY]
-    ledger.on_recorded(0.4, [GUILTY])
+    ledger.on_crash(0.0, "c1", [CRASHING])
+    ledger.on_crash(0.2, "c2", [CRASHING])
+    assert ledger.unrecorded(0.3) == [CRASHING]
+    ledger.on_recorded(0.4, [CRASHING])
     assert ledger.unrecorded(0.5) == []
     ledger.on_recorded(9.0, [])
-    assert not ledger.is_quarantined(9.1, GUILTY)
+    assert not ledger.is_quarantined(9.1, CRASHING)
     assert ledger.unrecorded(9.1) == []
 
 
@@ -151,7 +151,7 @@
 
 
 class ModelFleet:
-    """Daemons with model targets that end under deadly requests, in virtual time."""
+    """Daemons with model targets that end under crashing requests, in virtual time."""
 
     WORK_S = 0.15
     RESTART_S = 3.0
@@ -218,7 +218,7 @@
         ended = self.loop.create_future()
         self.running[ended] = sent
         work_s = ModelFleet.WORK_S
-        if sent.path == "/deadly":
+        if sent.path == "/crash":
             self.loop.call_later(0.8 * work_s, self._crash, ended)
         done, _ = await asyncio.wait({ended}, timeout=work_s)
         self.running.pop(ended, None)
@@ -256,15 +256,15 @@
         return answer
 
 
-async def _play(is_guarded, size, deadly_fraction, seed):
-    """Return the number of ended targets and the fraction of innocents served."""
+async def _play(is_guarded, size, crashing_fraction, seed):
+    """Return the number of ended targets and the fraction of others served."""
     rng = random.Random(seed)
     fleet = ModelFleet(size, is_guarded)
     loop = asyncio.get_running_loop()
     served = []
 
-    async def send(number, is_deadly):
-        path = "/deadly" if is_deadly else f"/{number}"
+    async def send(number, is_crashing):
+        path = "/crash" if is_crashing else f"/{number}"
         for attempt in range(2):
             node = rng.choice(list(fleet.nodes.values()))
             answer = await node.sender.run(
@@ -279,23 +279,25 @@
             if answer.refusal is None:
                 break
             await asyncio.sleep(0.2)
-        if not is_deadly:
+        if not is_crashing:
             served.append(answer.refusal is None)
 
     tasks = []
     for number in range(20 * 160):
-        tasks.append(loop.create_task(send(number, rng.random() < deadly_fraction)))
+        tasks.append(loop.create_task(send(number, rng.random() < crashing_fraction)))
         await asyncio.sleep(1 / 160)
     await asyncio.gather(*tasks)
     return fleet.crashed, sum(served) / len(served)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize(("size", "deadly_fraction"), [(6, 0.03), (6, 0.1), (24, 0.03)])
-def test_deadly_request_ends_few_targets(seed, size, deadly_fraction):
+@pytest.mark.parametrize(
+    ("size", "crashing_fraction"), [(6, 0.03), (6, 0.1), (24, 0.03)]
+)
+def test_crashing_request_ends_few_targets(seed, size, crashing_fraction):
     """Guards against one request that ends all targets of its service in turn."""
     ended, served = helpers.run_in_virtual_time(
-        _play(True, size, deadly_fraction, seed)
+        _play(True, size, crashing_fraction, seed)
     )
     assert ended <= 5
     assert served >= 0.95
@@ -308,8 +310,8 @@
     assert served < 0.95
 
 
-class MortalTarget:
-    """A target on real connections that ends at requests for /deadly."""
+class CrashingTarget:
+    """A target on real connections that ends at requests for /crash."""
 
     def __init__(self, fleet, restart_s=0.4):
         self.fleet, self.restart_s = fleet, restart_s
@@ -329,7 +331,7 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 await asyncio.sleep(0.03)
-                if head.split()[1] == b"/deadly":
+                if head.split()[1] == b"/crash":
                     await self._end()
                     return
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
@@ -349,33 +351,33 @@
         )
 
 
-async def _mortal_fleet(fleet, size):
-    targets = [MortalTarget(fleet) for _ in range(size)]
-    for number, mortal in enumerate(targets):
-        await fleet.daemon(f"d{number}", "shop", await mortal.start())
+async def _crashing_fleet(fleet, size):
+    targets = [CrashingTarget(fleet) for _ in range(size)]
+    for number, crashing in enumerate(targets):
+        await fleet.daemon(f"d{number}", "shop", await crashing.start())
     return targets
 
 
-def test_deadly_request_ends_few_real_targets():
+def test_crashing_request_ends_few_real_targets():
     """Guards against sending on a request under which three targets have ended."""
 
     async def scenario():
         state = fleetparts.fleet_state(attempts=1)
         async with fleetparts.Fleet(state) as fleet:
-            targets = await _mortal_fleet(fleet, 4)
-            innocent = []
+            targets = await _crashing_fleet(fleet, 4)
+            others = []
             for number in range(60):
                 entry = fleet.address(f"d{number % 4}")
-                deadly = asyncio.ensure_future(fleetparts.fetch(entry, path="/deadly"))
+                crashing = asyncio.ensure_future(fleetparts.fetch(entry, path="/crash"))
                 reply = await fleetparts.fetch(entry, path=f"/{number}")
-                innocent.append(reply.status)
-                reply = await deadly
+                others.append(reply.status)
+                reply = await crashing
                 assert reply.status in (502, 503)
                 if number > 40:
                     assert reply.headers["toucanfold-outcome"] == "not-run"
                     assert int(reply.headers["retry-after"]) > 60
-            assert sum(mortal.ended for mortal in targets) <= crashes.MAX_CRASHES
-            assert innocent.count(200) >= 0.95 * len(innocent)
+            assert sum(crashing.ended for crashing in targets) <= crashes.MAX_CRASHES
+            assert others.count(200) >= 0.95 * len(others)
 
     helpers.run(scenario(), 60)
 
@@ -386,7 +388,7 @@
     async def scenario():
         state = fleetparts.fleet_state(attempts=1)
         async with fleetparts.Fleet(state) as fleet:
-            targets = await _mortal_fleet(fleet, 2)
+            targets = await _crashing_fleet(fleet, 2)
             targets[0].restart_s = 60.0
             await fleetparts.fetch(fleet.address("d0"), path="/warm")
             await targets[0]._end()
@@ -407,14 +409,14 @@
 
     async def scenario():
         async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
-            [mortal] = await _mortal_fleet(fleet, 1)
-            await fleetparts.fetch(fleet.address("d0"), path="/deadly")
+            [crashing] = await _crashing_fleet(fleet, 1)
+            await fleetparts.fetch(fleet.address("d0"), path="/crash")
             reply = await fleetparts.fetch(fleet.address("d0"), path="/a")
             assert (reply.status, reply.headers["toucanfold-outcome"]) == (
                 503,
                 "not-run",
             )
-            await asyncio.sleep(mortal.restart_s + 0.3)
+            await asyncio.sleep(crashing.restart_s + 0.3)
             reply = await fleetparts.fetch(fleet.address("d0"), path="/a")
             assert reply.status == 200
             assert fleet.source.events[-1] == "ready"
@@ -448,15 +450,15 @@
     async def scenario():
         state = fleetparts.fleet_state(attempts=0)
         async with fleetparts.Fleet(state) as fleet:
-            [mortal] = await _mortal_fleet(fleet, 1)
+            [ending] = await _crashing_fleet(fleet, 1)
             daemon = fleet.daemons["d0"]
-            deadly = asyncio.ensure_future(
-                fleetparts.fetch(fleet.address("d0"), path="/deadly")
+            reply = asyncio.ensure_future(
+                fleetparts.fetch(fleet.address("d0"), path="/crash")
             )
             await helpers.eventually(lambda: daemon.dispatcher._sent)
             daemon.dispatcher._on_connection_refused()
-            await deadly
-            assert mortal.ended == 1
+            await reply
+            assert ending.ended == 1
             assert daemon.crash_ledger.suspected == 1
 
     helpers.run(scenario())
@@ -465,7 +467,7 @@
 def test_suspects_that_nobody_asks_for_are_forgotten():
     """Guards against a digest of every call long after the last crash."""
     ledger = crashes.CrashLedger()
-    ledger.on_crash(0.0, "c1", [GUILTY, FIRST])
+    ledger.on_crash(0.0, "c1", [CRASHING, FIRST])
     ledger.expire(crashes.SUSPICION_S - 1.0)
     assert ledger.suspected == 2
     ledger.expire(crashes.SUSPICION_S + 0.1)
@@ -508,15 +510,15 @@
             "sequence": 1,
             "applied": 0,
             "raft_term": 0,
-            "quarantined": [GUILTY.hex(), "no digest"],
+            "quarantined": [CRASHING.hex(), "no digest"],
         }
         await leader.handle("pings", {"pings": [ping]})
         await helpers.eventually(lambda: fleet.state.quarantines)
-        assert fleet.state.quarantined_digests() == [GUILTY]
+        assert fleet.state.quarantined_digests() == [CRASHING]
         again = store.FleetStore()
         again.restore(fleet.snapshot())
-        assert again.state.quarantined_digests() == [GUILTY]
-        lift = commands.LiftQuarantine(operation="operation-1", digest=GUILTY.hex())
+        assert again.state.quarantined_digests() == [CRASHING]
+        lift = commands.LiftQuarantine(operation="operation-1", digest=CRASHING.hex())
         assert fleet.apply(9, commands.encode(lift))["ok"]
         assert fleet.state.quarantined_digests() == []
 
@@ -535,5 +537,5 @@
 
 def test_crash_report_survives_the_codec():
     """Guards against digests that change on the way between instances."""
-    report = messages.CrashReport("c1", [GUILTY, FIRST], [SECOND])
+    report = messages.CrashReport("c1", [CRASHING, FIRST], [SECOND])
     assert messages.decode(messages.encode(report)[messages.LENGTH_BYTES :]) == report
--- a/tests/test_malformedmessages.py
+++ b/tests/test_malformedmessages.py
@@ -36,17 +36,6 @@
 )
 
 
-class _NoHandler:
-    def on_open(self, opened):
-        pass
-
-    def on_message(self, source, message):
-        pass
-
-    def on_close(self, closed, reason):
-        pass
-
-
 def random_value(rng, nested, value):
     """Return a value of the type of a message's field."""
     if nested is not None and isinstance(value, list):
@@ -100,7 +89,7 @@
 async def send_malformed(rng, address, identity, classes):
     """Send malformed messages on links; reopen those that the process closes."""
     for _ in range(LINKS):
-        connected = await link.connect(address, identity, _NoHandler())
+        connected = await link.connect(address, identity, helpers.NullLinkHandler())
         opened = connected.unwrap()
         for _ in range(MESSAGES_PER_LINK):
             if not opened.is_open:
--- a/tests/test_watchtraffic.py
+++ b/tests/test_watchtraffic.py
@@ -154,7 +154,9 @@
                 "f", helpers.SECRET, "control", data_centre, 1, region, data_centre
             )
             addresses.append(helpers.free_address())
-            servers.append(await link.listen(addresses[-1], identity, _NoHandler()))
+            servers.append(
+                await link.listen(addresses[-1], identity, helpers.NullLinkHandler())
+            )
         addresses.append(helpers.free_address())
         watched = helpers.make_watch("d", addresses)
         watched._identity.region, watched._identity.data_centre = "r1", "d1"
@@ -165,14 +167,3 @@
             server.close()
 
     helpers.run(scenario())
-
-
-class _NoHandler:
-    def on_open(self, opened):
-        pass
-
-    def on_message(self, source, message):
-        pass
-
-    def on_close(self, closed, reason):
-        pass
--- a/toucanfold/crashes.py
+++ b/toucanfold/crashes.py
@@ -107,19 +107,19 @@
             return []
         _remember(self._reported, crash, MAX_REPORTED_CRASHES)
         if any(self.is_quarantined(now, digest) for digest in digests):
-            # A request that is already known to be guilty explains the crash.
+            # The quarantined request is the cause, so the others are cleared.
             self._forget_crashes({crash})
             return []
         self.on_crash_under(now, crash, digests)
         counts = {digest: self.crashes_of(now, digest) for digest in digests}
         repeated = [digest for digest, count in counts.items() if count >= MIN_CRASHES]
-        guilty = [
+        causes = [
             digest
             for digest in repeated
             if counts[digest] >= MAX_CRASHES
             or (len(repeated) == 1 and self._knows_others_of(now, digest))
         ]
-        return [digest for digest in guilty if self._quarantine(now, digest)]
+        return [digest for digest in causes if self._quarantine(now, digest)]
 
     def _knows_others_of(self, now: float, digest: bytes) -> bool:
         """Whether all requests are known that ran in the crashes under this one.
