Use a target again that left, ended and restarted

Cause, found by reading the diff: a refused connection to a target that had already stated it was leaving marked it as not listening, but nobody watched for its return, so its next instance got no calls.

Change: the watch starts whenever a target stops listening.

Measured: test_target_that_left_and_ended_is_used_after_its_restart fails before and passes now.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -18,6 +18,7 @@
     crashes,
     crashguard,
     forward,
+    httpserver,
     leadership,
     link,
     messages,
@@ -27,6 +28,7 @@
     retries,
     router,
     store,
+    targetstatus,
 )
 
 CRASHING, FIRST, SECOND = (bytes([number]) * 16 for number in (1, 2, 3))
@@ -464,6 +466,27 @@
     helpers.run(scenario())
 
 
+def test_target_that_left_and_ended_is_used_after_its_restart():
+    """Guards against a target that is never used again after a refused connection."""
+
+    async def scenario():
+        status = targetstatus.TargetStatus(True)
+        status.on_announcement(0.0, targetstatus.Announcement("i1", 1, 1, True, 9))
+        async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
+            address = helpers.free_address()
+            daemon = await fleet.daemon("a", "shop", address, target_status=status)
+            status.on_announcement(0.1, targetstatus.Announcement("i1", 1, 2, False, 9))
+            daemon.dispatcher._on_connection_refused()
+            server = httpserver.Server(fleetparts.Recorder(), httpserver.Limits())
+            await server.listen(address)
+            fleet.stack.callback(server.stop)
+            status.on_announcement(0.2, targetstatus.Announcement("i2", 2, 1, True, 9))
+            await helpers.eventually(lambda: status.accepts_calls, 2.0)
+            assert (await fleetparts.fetch(fleet.address("a"))).status == 200
+
+    helpers.run(scenario())
+
+
 def test_suspects_that_nobody_asks_for_are_forgotten():
     """Guards against a digest of every call long after the last crash."""
     ledger = crashes.CrashLedger()
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -167,10 +167,9 @@
         return did_accept and not self.accepts_calls
 
     def on_connection_refused(self) -> bool:
-        """Accept no calls while nothing listens; False if the status is the same."""
-        did_accept = self.accepts_calls
-        self._is_listening = False
-        return did_accept
+        """Accept no calls while nothing listens; False if that was known."""
+        was_listening, self._is_listening = self._is_listening, False
+        return was_listening
 
     def on_listening(self) -> None:
         """Accept calls again, since the target's address accepts connections."""
