--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -431,11 +431,12 @@
             "service": self.service,
             "state": self.state,
             "seq": self.sequence,
+            "born": self.born,
             **changes,
         }
         body = {
             "address": f"{self.rig.host(self.number)}:{APP_PORT}",
-            "born": self.born,
+            "born": fields["born"],
             "info": {
                 "service": fields["service"],
                 "version": "v1",
@@ -458,6 +459,7 @@
             service=fields["service"],
             state=fields["state"],
             seq=fields["seq"],
+            born=fields["born"],
             status=answer.status,
         )
         if fields["state"] == "draining" and answer.status == 200:
