--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -620,12 +620,17 @@
         try:
             async with asyncio.timeout(110):
                 status = await case(rig)
-        except (TimeoutError, CannotRunError) as error:
-            rig.record("cannot-run", reason=str(error) or "timeout")
+        except Exception as error:
+            # Whatever else goes wrong says nothing about the rule.
+            rig.record("cannot-run", reason=repr(error))
             status = CANNOT_RUN
         finally:
             await rig.close()
         rig.record("result", status=status)
         return status
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except (CannotRunError, OSError) as error:
+        print(f"cannot run: {error}", file=sys.stderr)
+        return CANNOT_RUN
