--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,16 +1,19 @@
 """One core machine freezes while another one is replaced; then two disks are lost."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import rig as rigs  # noqa: E402
 
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE, KEY = "wuno96b", "6wsjnbanfqasnmgkcuyj"
 # Times after the freeze of machine 4.
 REMOVED_AFTER_S = 0.6
@@ -49,7 +52,7 @@
         rig.spawn(caller.press("GET", "pay.example", "/pay/2f", 0.2))
     await asyncio.sleep(3)
 
-    if rigs.has_trouble():
+    if TROUBLE:
         controls[4].signal(signal.SIGSTOP)
     await asyncio.sleep(REMOVED_AFTER_S)
     # Machine 5 is removed for good, without SIGTERM; machine 6 comes in its place.
@@ -58,7 +61,7 @@
     controls[6] = rig.add_control(6, bootstrap=False)
     await controls[6].start()
     await asyncio.sleep(THAWED_AFTER_S - SUCCESSOR_AFTER_S)
-    if rigs.has_trouble():
+    if TROUBLE:
         controls[4].signal(signal.SIGCONT)
     running = [1, 2, 3, 4, 6]
     await asyncio.sleep(SETTLED_AFTER_S)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,15 +4,18 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import rig as rigs  # noqa: E402
 
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE, KEY = "wuno96b", "6wsjnbanfqasnmgkcuyj"
 # Times after the end of the first machine.
 SUCCESSOR_AFTER_S = 0.3
@@ -58,7 +61,7 @@
     await controls[6].start()
     await asyncio.sleep(SUCCESSOR_ENDS_AFTER_S - SUCCESSOR_AFTER_S)
     running = [1, 2, 3, 4, 6]
-    if rigs.has_trouble():
+    if TROUBLE:
         # Machine 6 is removed for good as well; machine 7 comes in its place.
         await controls[6].kill()
         await asyncio.sleep(SECOND_SUCCESSOR_AFTER_S - SUCCESSOR_ENDS_AFTER_S)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,17 +1,22 @@
 """The address of a back end that has ended goes to a back end of another service."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import rig as rigs  # noqa: E402
 
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PAY, CAT = "wuno96b", "huvo11a"
 KEY = "6wsjnbanfqasnmgkcuyj"
+# One back end of six is 0.167 of them; the site names share = 0.18.
+MACHINES = {11: PAY, 12: PAY, 13: PAY, 14: CAT, 15: CAT, 16: CAT}
 # The pages name 2 s (reuse_after_s) as the earliest reuse.
 REUSE_AFTER_S = 3.0
 OBSERVED_S = 12.0
@@ -22,8 +27,7 @@
     for number in range(1, rigs.CONTROLS + 1):
         rig.add_control(number)
     daemons = {
-        number: rig.add_daemon(number, service)
-        for number, service in ((11, PAY), (12, PAY), (13, CAT), (14, CAT))
+        number: rig.add_daemon(number, service) for number, service in MACHINES.items()
     }
     await rig.start_all()
     await rig.put_config(
@@ -36,16 +40,14 @@
         )
     )
     backends = [
-        rigs.Backend(rig, 11, PAY, "i-11aa"),
-        rigs.Backend(rig, 12, PAY, "i-12bb"),
-        rigs.Backend(rig, 13, CAT, "i-13cc"),
-        rigs.Backend(rig, 14, CAT, "i-14dd"),
+        rigs.Backend(rig, number, service, f"i-{number}aa")
+        for number, service in MACHINES.items()
     ]
     for backend in backends:
         await backend.start()
     for number in daemons:
         await rig.until_ready(number)
-    callers = [rigs.Caller(rig, number, KEY) for number in (12, 13, 14)]
+    callers = [rigs.Caller(rig, number, KEY) for number in MACHINES if number != 11]
 
     async def is_served() -> bool:
         sent = [
@@ -63,7 +65,7 @@
         rig.spawn(caller.press("POST", "pay.example", "/pay/2f", 0.1))
         rig.spawn(caller.press("GET", "cat.example", "/cat/2f", 0.1))
     await asyncio.sleep(4)
-    if rigs.has_trouble():
+    if TROUBLE:
         backends[0].crash()
         await asyncio.sleep(REUSE_AFTER_S)
         # The platform writes the settings anew whenever they change, and says so.
@@ -71,7 +73,7 @@
         daemons[11].write_settings()
         daemons[11].signal(signal.SIGHUP)
         await asyncio.sleep(1.5)
-        successor = rigs.Backend(rig, 11, CAT, "i-15ee")
+        successor = rigs.Backend(rig, 11, CAT, "i-17ee")
         await successor.start()
         backends.append(successor)
     await asyncio.sleep(OBSERVED_S)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins that the scripts start; they are Python and need no library.
+# Checks the stand-ins that the scripts start; they are Python and need no library.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q lib [1-5]
+for file in rig.py [1-5]/case.py; do
+    python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
+done
--- a/review/lib/rig.py
+++ b/review/rig.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import http
 import json
 import os
 import pathlib
@@ -21,7 +22,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 PORTS = {"inbound": 8543, "outbound": 8548, "ready": 8546, "control": 8540}
 APP_PORT = 8547
 INTERNAL_PORTS = (7000, 7015)
@@ -482,6 +483,8 @@
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 writer.write(await self._answer(line, fields, body))
                 await writer.drain()
+                if self.state == "draining":
+                    return
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -491,6 +494,11 @@
     async def _answer(self, line: str, fields: dict[str, str], body: bytes) -> bytes:
         method, path, _ = line.split(" ", 2)
         identity = fields.get("request-id", "")
+        if path == "/health":
+            status = 200 if self.state == "ready" else 503
+            return _response(status, {"Instance-Id": self.instance}, b"")
+        if not identity:
+            return _response(400, {"Not-Executed": "1"}, b"")
         expected = fields.get("expected-instance", self.instance)
         if expected != self.instance:
             self.rig.record("misdirected", id=identity, instance=self.instance)
@@ -507,17 +515,16 @@
             caller=fields.get("caller-service", ""),
         )
         await asyncio.sleep(self.work_s)
-        return _response(
-            200,
-            {"Request-Id": identity, "Response-Seal": f"seal.{self.instance}"},
-            f"done {identity}".encode(),
-        )
+        answered = {"Request-Id": identity, "Response-Seal": f"seal.{self.instance}"}
+        if self.state == "draining":
+            # A back end that is leaving closes its connections.
+            answered["Connection"] = "close"
+        return _response(200, answered, f"done {identity}".encode())
 
 
 def _response(status: int, fields: dict[str, str], body: bytes) -> bytes:
-    reasons = {200: "OK", 421: "Misdirected Request"}
     sent = {**fields, "Content-Length": str(len(body))}
-    lines = [f"HTTP/1.1 {status} {reasons[status]}"]
+    lines = [f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}"]
     lines += [f"{name}: {value}" for name, value in sent.items()]
     return "\r\n".join([*lines, "", ""]).encode() + body
 
@@ -606,17 +613,12 @@
     }
 
 
-def has_trouble() -> bool:
-    """Whether the case runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def main(folder: pathlib.Path, case: Callable[[Rig], Awaitable[int]]) -> int:
     """Run a case within 110 seconds and return its exit status."""
 
     async def run() -> int:
         rig = Rig(folder)
-        rig.record("case", trouble=has_trouble())
+        rig.record("case", trouble=os.environ.get("TROUBLE", "1"))
         try:
             async with asyncio.timeout(110):
                 status = await case(rig)
