End a replacement with the removal of the replaced member

Seen by callers: after two lost disks, within what has to be tolerated, no control instance led any more.

Cause: Member.replaces kept the key of the replaced member for ever. A member that returns with its disk has its former key, so its long completed replacement was taken for one under way, and it was removed each time it joined. The dead member stayed a voter.

Evidence: the leader's log shows the same admission up to five times a second. A freeze is not what matters: the test fails in the same way when the member is cut off, or is killed and returns with its disk.

Change: a membership drops `replaces` once the replaced member is not in it, also when a stored membership is read.

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,46 @@
+"""Who replaces whom while control instances come, go and return."""
+
+import membershipsim
+import pytest
+
+from toucanfold import members
+
+
+def settled_fleet(seed):
+    fleet = membershipsim.ManagedFleet(seed)
+    fleet.run(membershipsim.CATCH_UP_S)
+    fleet.check_settled()
+    return fleet
+
+
+def check_recovered(fleet):
+    fleet.wait_until_present()
+    fleet.check_settled()
+    fleet.check_tolerates_disk_losses()
+
+
+@pytest.mark.parametrize("returns_by", ["freeze", "cut_off", "kill"])
+def test_member_that_was_replaced_joins_again_for_good(returns_by):
+    """Guards against a completed replacement that removes the returned member anew.
+
+    The successor of the second machine takes the place of the first, which was silent
+    for longer. The first must then take the place of the second.
+    """
+    fleet = settled_fleet(1)
+    getattr(fleet, returns_by)("m4", 5.5)
+    fleet.run(0.6)
+    fleet.remove_machine("m5", successor_after_s=1.0)
+    check_recovered(fleet)
+
+
+def test_replacement_ends_with_the_removal_of_the_replaced_member():
+    """Guards against a relation to a former member that outlives the replacement."""
+    old, new = members.Member("a", "1"), members.Member("b", "1", replaces="a/1")
+    current = members.Membership([old, new]).without(old.key)
+    assert current.get(new.key).replaces == ""
+    returned = current.put(old)
+    assert members.next_step(returned, returned.keys, returned.keys) is None
+    stored = members.Membership.from_bytes(
+        b'[{"name":"b","member_id":"1","replaces":"a/1"}]'
+    )
+    assert stored.get(new.key).replaces == ""
--- a/toucanfold/members.py
+++ b/toucanfold/members.py
@@ -25,7 +25,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Member:
-    """One member; replaces is the key of the member that it replaces, or empty."""
+    """One member; replaces is the key of the member that it replaces, or empty.
+
+    A membership keeps replaces only as long as the replaced member is in it.
+    """
 
     name: str
     member_id: str
@@ -72,7 +75,15 @@
     __slots__ = ("_members", "quorum", "voters")
 
     def __init__(self, members: Iterable[Member] = ()):
-        self._members = {member.key: member for member in members}
+        by_key = {member.key: member for member in members}
+        # A replacement ends with the removal of the replaced member, which may join
+        # again under its key.
+        self._members = {
+            key: member
+            if not member.replaces or member.replaces in by_key
+            else dataclasses.replace(member, replaces="")
+            for key, member in by_key.items()
+        }
         self.voters = frozenset(
             key for key, member in self._members.items() if member.voter
         )
