Abandon a learner that ended, so that others may join

Seen by callers: a control instance was replaced, its successor ended before it had caught up, and a second successor was never admitted.

Cause: instances join one at a time, and an admission ended only in a promotion. A learner that ended kept all others out.

A learner in contact is never abandoned.

--- a/tests/test_joinplanner.py
+++ b/tests/test_joinplanner.py
@@ -72,3 +72,39 @@
     planner.next_change(1.0, current, WAITING, keys("a", "b", "c"))
     late = joinplanner.REPLACE_AFTER_S + 0.5
     assert planner.next_change(late, current, WAITING, keys("a", "b")) is None
+
+
+def test_learner_that_has_ended_blocks_no_other_join():
+    """Guards against a fleet that admits nobody because a new instance ended."""
+    planner = joinplanner.JoinPlanner(2)
+    current = membership("a", "b", "c", "e", learner="e")
+    reachable = keys("a", "b", "c")
+    for now in (0.0, joinplanner.REPLACE_AFTER_S - 0.1):
+        assert planner.next_change(now, current, WAITING, reachable) is None
+    change = planner.next_change(
+        joinplanner.REPLACE_AFTER_S, current, WAITING, reachable
+    )
+    assert change == members.MemberChange(members.ChangeKind.REMOVE, "e", "id")
+
+
+def test_learner_in_contact_is_not_abandoned():
+    """Guards against a new instance that never joins because its state is large."""
+    planner = joinplanner.JoinPlanner(2)
+    current = membership("a", "b", "c", "e", learner="e")
+    for now in range(10):
+        assert planner.next_change(now, current, WAITING, current.keys) is None
+
+
+def test_instance_that_ends_each_time_joins_after_the_others():
+    """Guards against an instance that restarts for ever and keeps others out."""
+    planner = joinplanner.JoinPlanner(2)
+    waiting = WAITING | {"b": joinplanner.PendingJoin("id", "b:1")}
+    first = planner.next_change(0.0, membership("a", "c"), waiting, keys("a", "c"))
+    assert first.name == "b"
+    with_learner = membership("a", "b", "c", learner="b")
+    planner.next_change(1.0, with_learner, waiting, keys("a", "c"))
+    now = 1.0 + joinplanner.REPLACE_AFTER_S
+    removal = planner.next_change(now, with_learner, waiting, keys("a", "c"))
+    assert (removal.kind, removal.name) == (members.ChangeKind.REMOVE, "b")
+    second = planner.next_change(now, membership("a", "c"), waiting, keys("a", "c"))
+    assert second.name == "d"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -33,6 +33,23 @@
     check_recovered(fleet)
 
 
+def test_join_that_was_cut_short_blocks_no_later_one():
+    """Guards against a new member that ends before it has caught up."""
+    fleet = settled_fleet(2)
+    fleet.remove_machine("m5", successor_after_s=0.0)
+    fleet.run(2.2)
+    # It ends while it waits, and is added all the same.
+    assert "m6" in fleet.leader().raft.waiting(fleet.now)
+    fleet.remove_machine("m6", successor_after_s=0.5)
+    check_recovered(fleet)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_members_are_the_machines_that_run_after_any_order_of_faults(seed):
+    """Guards against a fleet that bears fewer losses than it has to, unnoticed."""
+    membershipsim.disturb_and_check(seed)
+
+
 def test_replacement_ends_with_the_removal_of_the_replaced_member():
     """Guards against a relation to a former member that outlives the replacement."""
     old, new = members.Member("a", "1"), members.Member("b", "1", replaces="a/1")
