Test endless answers for callers that do not read them

Report: a target sent bytes without end; the machine that had called it kept them all and ran out of memory. Not played before: two daemons on the way, callers that read slowly or not at all.

The daemons send no health probes. A nested call was not played.

Change: tests only. Also the former cases now check that no daemon holds a call or a caller's connection at the end.

Measured: tests/test_endlessanswers.py passes.

--- a/tests/test_endlessanswers.py
+++ b/tests/test_endlessanswers.py
@@ -110,8 +110,23 @@
     return head, time.monotonic() - started_at
 
 
-def run_beside_other_calls(first, repeated, endless_calls=1, entry="t1"):
-    """Return the endless answers' start and time and the longest other call (s)."""
+async def never_read(address):
+    """Send a request without reading the answer; end some time after the deadline."""
+    started_at = time.monotonic()
+    _, writer = await asyncio.open_connection(*link.split_address(address))
+    writer.transport.pause_reading()
+    writer.write(fleetparts.request_bytes(path="/endless", Connection="close"))
+    await asyncio.sleep(DEADLINE_S + DEADLINE_GRACE_S)
+    return b"", time.monotonic() - started_at
+
+
+def run_beside_other_calls(
+    first, repeated, endless_calls=1, entry="t1", read=read_to_end
+):
+    """Return the endless answers' start and time and the longest other call (s).
+
+    At the end, no daemon may still hold a call or a caller's connection.
+    """
 
     target = EndlessTarget(first, repeated)
 
@@ -125,9 +140,7 @@
             address = fleet.address(entry)
             assert (await fleetparts.fetch(address)).status == 200
             before = resident_bytes()
-            reading = asyncio.gather(
-                *[read_to_end(address) for _ in range(endless_calls)]
-            )
+            reading = asyncio.gather(*[read(address) for _ in range(endless_calls)])
             longest_s, growth = 0.0, 0
             while not reading.done():
                 started_at = time.monotonic()
@@ -136,6 +149,11 @@
                 growth = max(growth, resident_bytes() - before)
                 await asyncio.sleep(0.01)
             heads, times_s = zip(*await reading, strict=True)
+            held = [
+                (daemon.running, daemon.dispatcher.in_flight, len(daemon.callers))
+                for daemon in fleet.daemons.values()
+            ]
+            assert held == [(0, 0, 0)] * len(held)
         assert growth < MAX_GROWTH_BYTES
         return heads, max(times_s), longest_s
 
@@ -170,3 +188,13 @@
     _, took_s, longest_s = run_beside_other_calls(*answer, 8, entry)
     assert took_s < DEADLINE_S + DEADLINE_GRACE_S
     assert longest_s < MAX_OTHER_CALL_S
+
+
+@pytest.mark.parametrize(
+    "kind", ["chunks-of-one-byte", "large-chunks", "length-of-terabytes"]
+)
+@pytest.mark.parametrize("entry", ["t1", "t2"])
+def test_endless_body_is_not_kept_for_a_caller_that_does_not_read(kind, entry):
+    """Guards against a body that fills the memory of a daemon on its way."""
+    _, _, longest_s = run_beside_other_calls(*BODIES[kind], 8, entry, never_read)
+    assert longest_s < MAX_OTHER_CALL_S
