Refuse announcements that cannot be the target's own

Cause: an announcement of an unknown service with a later start counted as the newest start of the target, and hid the target's own ones.

Change: an announcement without a service, or of one that the settings, the routes and the configuration do not name, is refused and changes nothing. One of another service for the same start of a target is ignored.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -377,6 +377,7 @@
         {"status": None},
         {"info": {"slots": "many"}},
         {"info": {"slots": 72, "service": 1}},
+        {"info": {"slots": 72}},
         {"born": 1.5},
         {"born": True},
     ],
@@ -397,7 +398,9 @@
         async def changed():
             changes.append(target_status.accepts_calls)
 
-        handler = announcements.AnnouncementHandler(target_status, changed)
+        handler = announcements.AnnouncementHandler(
+            target_status, changed, lambda service: service == "s1"
+        )
         for method, body in (
             ("PUT", json.dumps(ANNOUNCEMENT).encode()),
             ("PUT", json.dumps(ANNOUNCEMENT).encode()),
--- a/tests/test_reusedaddress.py
+++ b/tests/test_reusedaddress.py
@@ -28,21 +28,21 @@
     )
 
 
-async def announce(daemon, instance, service, started_at_ms):
-    """Announce a target to its daemon as the platform does."""
+async def announce(daemon, instance, service, started_at_ms, state="ready", sequence=1):
+    """Announce a target to its daemon as the platform does; return the status."""
     body = {
         "address": "127.0.0.1:1",
         "info": {"service": service, "version": "v1", "zone": "d1", "slots": 50},
-        "status": {"state": "ready", "seq": 1, "cold_remaining_ms": 0},
+        "status": {"state": state, "seq": sequence, "cold_remaining_ms": 0},
         "born": started_at_ms,
     }
     handler = announcements.AnnouncementHandler(
-        daemon.target_status, daemon.on_target_status
+        daemon.target_status, daemon.on_target_status, daemon.knows_service
     )
     answered = await handler.handle(
         request("PUT", f"/instances/{instance}", body=json.dumps(body).encode())
     )
-    assert answered.status == 200
+    return answered.status
 
 
 def announced_status(service):
@@ -69,12 +69,12 @@
                 await fleet.target(shared),
                 target_status=targetstatus.TargetStatus(require_announcement=True),
             )
-            await announce(reused, "i-1", "shop", 1000)
+            assert await announce(reused, "i-1", "shop", 1000) == 200
             await fleet.daemon("b", "shop", await fleet.target(other))
             addresses = [fleet.address("a"), fleet.address("b")]
             assert await call_steadily(addresses, 100, 0.3) == {"ran": 30}
             assert shared.requests
-            await announce(reused, "i-2", "parts", 2000)
+            assert await announce(reused, "i-2", "parts", 2000) == 200
             shared.requests.clear()
             if is_recorded:
                 assert fleet.source.events[-2:] == ["service parts", "ready"]
@@ -92,6 +92,32 @@
     helpers.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("service", "started_at_ms"), [("unknown", 2000), ("", 2000), ("parts", 1000)]
+)
+def test_foreign_announcement_does_not_revive_a_draining_target(service, started_at_ms):
+    """Guards against calls to a target whose drain was acknowledged.
+
+    An announcement of an unknown service, or of another one for the same start of the
+    target, comes from another writer.
+    """
+
+    async def scenario():
+        async with fleetparts.Fleet(fleetparts.fleet_state(("shop", "parts"))) as fleet:
+            status = targetstatus.TargetStatus(require_announcement=True)
+            daemon = await fleet.daemon(
+                "a", "shop", helpers.free_address(), target_status=status
+            )
+            await announce(daemon, "i-1", "shop", 1000)
+            assert status.accepts_calls
+            await announce(daemon, "i-1", "shop", 1000, "draining", 2)
+            await announce(daemon, "i-1", service, started_at_ms, sequence=3)
+            assert not status.accepts_calls and status.service == "shop"
+            assert daemon.service == "shop"
+
+    helpers.run(scenario())
+
+
 class _Bench:
     """A dispatcher beside an announced target of the service shop."""
 
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -394,6 +394,18 @@
             for slot in state.slots.values()
         )
 
+    def knows_service(self, service: str) -> bool:
+        """Whether a target may be one of this service.
+
+        Services are named by the settings, declared, or called by a route.
+        """
+        state = self.source.state
+        return (
+            service in (self.service, self._get("service"))
+            or service in state.services
+            or any(service in route.services for route in state.routes.values())
+        )
+
     async def on_target_status(self) -> None:
         """Apply a status change of the local target and announce it to the fleet."""
         self._apply_target_status()
--- a/toucanfold/platform/announcements.py
+++ b/toucanfold/platform/announcements.py
@@ -24,9 +24,11 @@
         self,
         target_status: targetstatus.TargetStatus,
         on_change: Callable[[], Awaitable[None]],
+        knows_service: Callable[[str], bool],
     ):
         self._target_status = target_status
         self._on_change = on_change
+        self._knows_service = knows_service
 
     def protocol_error(self, status: int, message: str) -> httpserver.Response:
         """Return the response to a malformed request."""
@@ -46,7 +48,7 @@
             is_update = self._target_status.on_instance_left(now, instance)
         else:
             announcement = read(instance, request.body)
-            if announcement is None:
+            if announcement is None or not self._knows_service(announcement.service):
                 logging.warning(
                     "rejected an invalid announcement of instance %s", instance
                 )
@@ -83,7 +85,7 @@
             is_ready,
             _integer(info.get("slots", 0), targetstatus.MAX_CONCURRENCY_LIMIT),
             warmup_ms / 1000,
-            _text(info.get("service", "")),
+            _text(info["service"]),
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
--- a/toucanfold/platform/daemonprogram.py
+++ b/toucanfold/platform/daemonprogram.py
@@ -16,7 +16,9 @@
 
 def _listeners(daemon_instance: daemon.Daemon) -> list[httpserver.Listener]:
     announcement_handler = announcements.AnnouncementHandler(
-        daemon_instance.target_status, daemon_instance.on_target_status
+        daemon_instance.target_status,
+        daemon_instance.on_target_status,
+        daemon_instance.knows_service,
     )
     return [
         httpserver.Listener(
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -133,7 +133,7 @@
         """Apply an announcement; False if it is stale or its instance terminated."""
         if self._newest is not None and announcement.order <= self._newest.order:
             return False
-        if self._is_terminated(announcement):
+        if self._is_terminated(announcement) or self._contradicts(announcement):
             return False
         self._newest = announcement
         return True
@@ -228,6 +228,13 @@
             )
         return calls.refuse(kind, message, retry_after_ms=RETRY_AFTER_MS)
 
+    def _contradicts(self, announcement: Announcement) -> bool:
+        # One start of a target cannot change its service.
+        return self.start == (
+            announcement.instance,
+            announcement.started_at_ms,
+        ) and not self.serves(announcement.service)
+
     def _is_terminated(self, announcement: Announcement) -> bool:
         # An id may be reused by a later start; earlier starts remain terminated.
         return announcement.started_at_ms <= self._terminated.get(
