Admit a member that returns after all it knew were replaced

What happens to callers: a control instance is away for 30 s while the others are replaced one by one. It is never admitted again, a dead instance stays a voter, and after two lost disks reads of the acknowledged configuration are answered 503 for good.

Cause: a member without a leader announces itself to, and keeps links to, the members in its log only. The seeds of its settings were used only by an instance with an empty disk.

Change: such a member also announces itself to the instances of its settings, and links to them until a member that it knows leads. A reload updates them, also for instances that wait to join.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -84,6 +84,7 @@
         self.is_leader = True
         self.term = 1
         self.commit_index = 0
+        self.contacts: set[str] = set()
         self.failure: exceptions.ToucanfoldError | None = None
         self._store = fleet
 
@@ -122,6 +123,9 @@
     def record_pending_join(self, name, member_id, address):
         pass
 
+    def set_contacts(self, names):
+        self.contacts = set(names)
+
     def reachable(self):
         return set()
 
--- a/tests/membershipsim.py
+++ b/tests/membershipsim.py
@@ -79,6 +79,7 @@
         self.after(0, self.check_members)
         self.after(0, self.report_joins)
         self.after(0, self.propose_steadily)
+        self.after(0, self.reload_settings)
 
     @property
     def seeds(self):
@@ -191,6 +192,13 @@
         while self.lost_count or len(self.nodes) < MACHINES:
             self.run(0.1)
 
+    def reload_settings(self):
+        """Let each process read the seeds anew, as its settings file changes."""
+        self.after(SEED_LAG_S, self.reload_settings)
+        for node in self.nodes.values():
+            if node.is_up and node.frozen_messages is None:
+                node.raft.set_contacts(self.seeds)
+
     def propose_steadily(self):
         self.after(PROPOSAL_INTERVAL_S, self.propose_steadily)
         self.propose(b"load")
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,7 +3,15 @@
 
 import helpers
 
-from toucanfold import adminclient, control, credentials, exceptions, limits, tls
+from toucanfold import (
+    adminclient,
+    control,
+    credentials,
+    exceptions,
+    limits,
+    members,
+    tls,
+)
 
 
 class Fleet:
@@ -280,3 +288,24 @@
         assert (value["in_force"], later["accepted"]) == (False, True)
 
     scenario(tmp_path, test)
+
+
+def test_instance_links_to_its_settings_members_until_a_known_member_leads(tmp_path):
+    """Guards against an instance whose known members were all replaced meanwhile."""
+    listed = {"c1": helpers.free_address(), "c9": helpers.free_address()}
+    settings = helpers.control_settings(tmp_path, "c1", listed)
+    known = members.Membership([members.Member("c2", "1", "c2:1")])
+    assert control.link_addresses(settings, known, "c2") == {"c2": "c2:1"}
+    for leader in (None, "c9"):
+        linked = control.link_addresses(settings, known, leader)
+        assert linked == listed | {"c2": "c2:1"}
+
+
+def test_changed_seeds_are_contacts_of_an_instance_that_was_replaced(tmp_path):
+    async def check(fleet):
+        listed = {"c1": fleet.address, "c9": helpers.free_address()}
+        changed = helpers.control_settings(tmp_path, "c1", listed)
+        fleet.control.reload(changed)
+        assert fleet.control.replica.contacts == {"c1", "c9"}
+
+    scenario(tmp_path, check)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -33,6 +33,17 @@
     check_recovered(fleet)
 
 
+@pytest.mark.parametrize("returns_by", ["cut_off", "kill"])
+def test_member_returns_after_all_that_it_knew_were_replaced(returns_by):
+    """Guards against a member that finds nobody to admit it when it returns."""
+    fleet = settled_fleet(3)
+    getattr(fleet, returns_by)("m1", 32.0)
+    for name in ("m2", "m3", "m4", "m5"):
+        fleet.remove_machine(name, successor_after_s=0.5)
+        fleet.run(6)
+    check_recovered(fleet)
+
+
 def test_join_that_was_cut_short_blocks_no_later_one():
     """Guards against a new member that ends before it has caught up."""
     fleet = settled_fleet(2)
--- a/toucanfold/bootstrap.py
+++ b/toucanfold/bootstrap.py
@@ -6,6 +6,8 @@
 bootstrap announcement, and an instance with a new id is not in the first membership.
 """
 
+from collections.abc import Iterable
+
 from toucanfold import members, messages, raftlog
 from toucanfold.rafttypes import BootstrapConfig, Kind
 
@@ -34,8 +36,8 @@
         self._last_keys: dict[str, str] = {}
         self._confirmed_keys: dict[str, str] = {}
 
-    def announcements(self) -> list[messages.Raft]:
-        """Return an announcement for each other instance."""
+    def announcements(self, contacts: Iterable[str]) -> list[messages.Raft]:
+        """Return an announcement for each other instance and each further contact."""
         own = members.name_of(self._key)
         return [
             messages.Raft(
@@ -45,7 +47,7 @@
                 granted=self._joining,
                 address=self._own_address,
             )
-            for name in sorted(self._addresses)
+            for name in sorted(self._addresses.keys() | contacts)
             if name != own
         ]
 
--- a/toucanfold/control.py
+++ b/toucanfold/control.py
@@ -28,6 +28,7 @@
     leases,
     link,
     logs,
+    members,
     messages,
     metrics,
     plugins,
@@ -145,6 +146,7 @@
     def reload(self, settings: config.Settings) -> None:
         """Apply changed seeds; all other settings need a restart."""
         self._settings = settings
+        self.replica.set_contacts(bootstrap_members(settings))
 
     def add(self, listener: httpserver.Listener) -> None:
         """Add a listener, which is opened by start."""
@@ -276,15 +278,11 @@
         return owners.get(role)
 
     async def _maintain_member_links(self) -> None:
-        """Keep links to the members, or to those of the settings if none is known."""
         while True:
-            addresses = {
-                item["name"]: item["address"]
-                for item in self.replica.status()["members"]
-            }
-            self.control_peers.set_members(
-                addresses or bootstrap_members(self._settings)
+            addresses = link_addresses(
+                self._settings, self.replica.membership(), self.replica.leader
             )
+            self.control_peers.set_members(addresses)
             await asyncio.sleep(MEMBERS_INTERVAL_S)
 
     async def _report_pending_joins(self) -> None:
@@ -331,6 +329,20 @@
     return {address.rpartition(":")[0]: address for address in seeds}
 
 
+def link_addresses(
+    settings: config.Settings, membership: members.Membership, leader: str | None
+) -> dict[str, str]:
+    """Return the addresses of the instances to link to, by name.
+
+    These are the members, and those of the settings until a known member leads: all
+    members that this instance knows may have been replaced.
+    """
+    addresses = {member.name: member.address for member in membership.members}
+    if leader in addresses:
+        return addresses
+    return bootstrap_members(settings) | addresses
+
+
 def make_replica(settings: config.Settings) -> ReplicaFactory:
     """Return a factory of the replica on the data directory; raises StorageError."""
     folder = files.LocalFiles(settings.get("control", "data_folder"))
--- a/toucanfold/raft.py
+++ b/toucanfold/raft.py
@@ -1,7 +1,7 @@
 """Consensus on the replicated log: replication, reads and membership."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from returns import result
@@ -39,6 +39,7 @@
 
     __slots__ = (
         "_bootstrapper",
+        "_contacts",
         "_handlers",
         "_join_reported_at",
         "_next_announce_at",
@@ -69,6 +70,8 @@
         self._join_reported_at: dict[str, float] = {}
         self._own_address = plan.own_address
         self._bootstrapper = bootstrap.Bootstrapper(key, plan)
+        # Names of instances that may admit this one when no member it knows is left.
+        self._contacts = frozenset(plan.addresses)
         self._saved_vote = self._stored_vote = vote
         self._next_announce_at = now
         self._snapshot_receiver = replication.SnapshotReceiver()
@@ -193,6 +196,10 @@
             else []
         )
 
+    def set_contacts(self, names: Collection[str]) -> None:
+        """Set the instances to which this one also announces itself, by name."""
+        self._contacts = frozenset(names)
+
     def record_pending_join(
         self, now: float, name: str, member_id: str, address: str
     ) -> None:
@@ -300,27 +307,29 @@
             self._bootstrap(now, entry)
         elif now >= self._next_announce_at:
             self._next_announce_at = now + ANNOUNCE_INTERVAL_S
-            self._deferred_messages += self._bootstrapper.announcements()
+            self._deferred_messages += self._bootstrapper.announcements(self._contacts)
 
     def _announce_to_members(self, now: float) -> None:
         """Announce this member to the others when no leader has contacted it.
 
         It may have been replaced while it was unreachable, and then has to join again.
+        All members that it knows may have been replaced, too.
         """
         if now < max(self._leader_contact_at + REJOIN_AFTER_S, self._next_announce_at):
             return
         self._next_announce_at = now + ANNOUNCE_INTERVAL_S
-        for member in self.membership.members:
-            if member.key != self.key:
-                self._deferred_messages.append(
-                    messages.Raft(
-                        kind=int(Kind.ANNOUNCE),
-                        sender=self.key,
-                        receiver=member.key,
-                        granted=True,
-                        address=self._own_address,
-                    )
+        known = {member.name for member in self.membership.members}
+        receivers = self.membership.keys - {self.key} | self._contacts - known
+        for receiver in sorted(receivers - {members.name_of(self.key)}):
+            self._deferred_messages.append(
+                messages.Raft(
+                    kind=int(Kind.ANNOUNCE),
+                    sender=self.key,
+                    receiver=receiver,
+                    granted=True,
+                    address=self._own_address,
                 )
+            )
 
     def _bootstrap(self, now: float, entry: messages.Entry) -> None:
         self.log.append([entry])
--- a/toucanfold/replica.py
+++ b/toucanfold/replica.py
@@ -3,7 +3,7 @@
 import asyncio
 import concurrent.futures
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Protocol
 
 from absl import logging
@@ -178,6 +178,10 @@
             name: joinplanner.PendingJoin(*item) for name, item in pending_joins.items()
         }
 
+    def set_contacts(self, names: Collection[str]) -> None:
+        """Set the names of instances that may admit this one if it was replaced."""
+        self._raft.set_contacts(names)
+
     def record_pending_join(self, name: str, member_id: str, address: str) -> None:
         """Record a pending join that another member reported."""
         self._raft.record_pending_join(self._clock(), name, member_id, address)
