Count absences of members in the present term only

An instance that leads again could replace a member at once that had been silent for half a second, because it was away long before.

Change: the planner forgets them when a term starts.

Measured: test_absence_in_an_earlier_term_does_not_count fails without the call and passes with it.

--- a/tests/test_joinplanner.py
+++ b/tests/test_joinplanner.py
@@ -108,3 +108,12 @@
     assert (removal.kind, removal.name) == (members.ChangeKind.REMOVE, "b")
     second = planner.next_change(now, membership("a", "c"), waiting, keys("a", "c"))
     assert second.name == "d"
+
+
+def test_absence_in_an_earlier_term_does_not_count():
+    """Guards against a member that is replaced because it was away long ago."""
+    planner = joinplanner.JoinPlanner(1)
+    current = membership("a", "b", "c")
+    planner.next_change(0.0, current, WAITING, keys("a", "b"))
+    planner.on_elected()
+    assert planner.next_change(100.0, current, WAITING, keys("a", "b")) is None
--- a/toucanfold/joinplanner.py
+++ b/toucanfold/joinplanner.py
@@ -14,7 +14,6 @@
 # A voter unreachable for this long may be replaced by a pending join, and a learner is
 # abandoned. A restart takes about half of it.
 REPLACE_AFTER_S = 2.0
-
 # After a learner was abandoned, other instances join before its name for this long, as
 # it may end each time.
 ABANDONED_JOINS_LAST_S = 60.0
@@ -49,6 +48,10 @@
         # Times at which a learner of this name was abandoned.
         self._abandoned_at: dict[str, float] = {}
 
+    def on_elected(self) -> None:
+        """Forget the absences seen in an earlier term, which may have ended since."""
+        self._unreachable_since.clear()
+
     def next_change(
         self,
         now: float,
--- a/toucanfold/leadership.py
+++ b/toucanfold/leadership.py
@@ -461,6 +461,7 @@
         now = asyncio.get_running_loop().time()
         logging.info("leading control in term %d", term)
         self._failure_detector.on_elected(now)
+        self._join_planner.on_elected()
         if self._grantor is not None:
             self._grantor.on_elected(now, term, self._store.state)
 
