Start a fleet although a seed restarted meanwhile

Seen by callers: one of three seeds lost its disk 0.3 s after the first start.

Cause: the first membership needs the ids of all seeds, and a restarted seed, whose settings tell it to join, was left out. It waited for a leader, and the others waited for it.

Change: the seed whose name sorts first includes joining seeds, and a joining seed accepts a first membership with its own id. No second fleet can come of it: only that seed writes a first membership, and only without state.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -44,6 +44,21 @@
     check_recovered(fleet)
 
 
+@pytest.mark.parametrize("name", ["m1", "m2", "m3"])
+@pytest.mark.parametrize("loses_disk", [True, False])
+def test_seed_that_ends_during_the_first_start_does_not_prevent_it(name, loses_disk):
+    """Guards against a fleet that waits for ever for a seed that waits for the fleet.
+
+    A restarted seed joins, as its settings no longer tell it to bootstrap.
+    """
+    fleet = membershipsim.ManagedFleet(4)
+    fleet.run(0.01)
+    fleet.nodes[name].joining = True
+    fleet.kill(name, 0.8, loses_disk)
+    fleet.run(membershipsim.START_DELAY_S + membershipsim.CATCH_UP_S)
+    check_recovered(fleet)
+
+
 def test_join_that_was_cut_short_blocks_no_later_one():
     """Guards against a new member that ends before it has caught up."""
     fleet = settled_fleet(2)
--- a/toucanfold/bootstrap.py
+++ b/toucanfold/bootstrap.py
@@ -4,6 +4,10 @@
 ids of all others and writes the first membership, which the others adopt. So a member
 that lost its disk never starts a second fleet: a member that has state sends no
 bootstrap announcement, and an instance with a new id is not in the first membership.
+
+One of the others may have restarted as a joining instance before the first membership
+was written. It is included all the same: only the instance whose name sorts first can
+have written a membership, and that one has no state.
 """
 
 from collections.abc import Iterable
@@ -54,7 +58,7 @@
     def on_announce(self, message: messages.Raft) -> None:
         """Record the id of another uninitialized instance."""
         name = members.name_of(message.sender)
-        if name not in self._addresses or message.granted:
+        if name not in self._addresses:
             return
         self._last_keys[name] = message.sender
         if message.receiver == self._key:
@@ -79,7 +83,7 @@
 
     def accepts_bootstrap(self, message: messages.Raft) -> bool:
         """Whether the first membership that another member sent includes this one."""
-        if self._joining or len(message.entries) != 1:
+        if len(message.entries) != 1:
             return False
         entry = message.entries[0]
         if entry.index != 1 or entry.kind != raftlog.KIND_MEMBERS:
