--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -302,6 +302,8 @@
 
 
 def test_changed_seeds_are_contacts_of_an_instance_that_was_replaced(tmp_path):
+    """Guards against an instance that announces itself to former seeds only."""
+
     async def check(fleet):
         listed = {"c1": fleet.address, "c9": helpers.free_address()}
         changed = helpers.control_settings(tmp_path, "c1", listed)
--- a/tests/test_endlessanswers.py
+++ b/tests/test_endlessanswers.py
@@ -111,7 +111,10 @@
 
 
 async def never_read(address):
-    """Send a request, never read, and return the connection after the deadline."""
+    """Send a request without reading; return the open connection after the deadline.
+
+    The caller keeps it, since a connection that is not referenced is closed.
+    """
     _, writer = await asyncio.open_connection(*link.split_address(address))
     writer.transport.pause_reading()
     writer.write(fleetparts.request_bytes(path="/endless", Connection="close"))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Who replaces whom while control instances come, go and return."""
+"""Membership of control while its instances leave, are replaced and return."""
 
 import membershipsim
 import pytest
--- a/tests/test_reusedaddress.py
+++ b/tests/test_reusedaddress.py
@@ -145,6 +145,8 @@
 
 
 def test_queued_call_is_not_sent_to_a_target_of_another_service():
+    """Guards against a queue that outlives the target for which calls waited."""
+
     async def scenario():
         bench = _Bench(helpers.free_address())
         bench.dispatcher.in_flight = bench.dispatcher.limit
