--- a/review/fleet_2/fleet.py
+++ b/review/fleet_2/fleet.py
@@ -151,14 +151,19 @@
         }
         return fields
 
+    def write_settings(self):
+        """Write the settings file from the role's template; return its path."""
+        template = (ROOT / self.fleet.roles[self.role]["template"]).read_text()
+        path = self.fleet.folder / f"{self.name}.ini"
+        path.write_text(render(template, self.settings()))
+        return path
+
     def start(self):
         """Start the role's program with its settings file."""
         role = self.fleet.roles[self.role]
         if self.data is not None:
             self.data.mkdir(exist_ok=True)
-        template = (ROOT / role["template"]).read_text()
-        path = self.fleet.folder / f"{self.name}.ini"
-        path.write_text(render(template, self.settings()))
+        path = self.write_settings()
         self.is_first_start = False
         kept = ("PATH", "HOME", "LANG")
         environment = {name: os.environ[name] for name in kept if name in os.environ}
