Confirm a departure only once control has recorded it

Cause: an announcement was acknowledged once it was in effect in the daemon's memory. A kill before its next ping lost it, and a departure that was confirmed without a majority of control was lost at any later kill. A draining report never reached the directory at all, and a departure recorded earlier replaced a later one that was not recorded yet.

Change: registration.Registration confirms an announcement or withdrawal once the directory holds it under this incarnation of the daemon, and answers 503 after 0.8 s otherwise. A start that was draining once has departed, whatever the order of its announcements. Pings follow each other without a pause, for 1 s at most, while control has not recorded a change.

Why this works: a daemon that starts later reads its target's departure from the directory before it uses the target; what is not there was not confirmed.

--- a/tests/fleetparts.py
+++ b/tests/fleetparts.py
@@ -161,6 +161,16 @@
         self.source.publish()
         return new_daemon
 
+    def record(self, name):
+        """Record what a daemon announces of its target, as control does."""
+        announcing = self.daemons[name]
+        status = announcing.target_status
+        target = self.state.targets[name]
+        target.service = announcing.service
+        target.target_instance, target.departed = status.label, status.departed
+        self.state.revision += 1
+        self.source.publish()
+
     def address(self, name, listener="caller"):
         """Return the address of a daemon's listener."""
         return self.daemons[name]._settings.get("daemon", f"{listener}_listen")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -18,10 +18,14 @@
     clock,
     config,
     exceptions,
+    interfaces,
     link,
     members,
     messages,
+    model,
+    registration,
     registry,
+    targetstatus,
     watch,
 )
 
@@ -31,6 +35,9 @@
 hypothesis.settings.load_profile("ci")
 
 
+# Unix time (s) of the tests' announcements.
+EPOCH_S = 1_700_000_000.0
+
 _ports = itertools.cycle(range(10_000 + os.getpid() * 61 % 20_000, 32_000))
 
 
@@ -133,6 +140,53 @@
         return {"name": self.name, "leader": self.leader, "members": []}
 
 
+class RegistrationRig:
+    """A registration whose changes are recorded at once, unless is_recording is off."""
+
+    def __init__(self, address, data_centre, service, *, record=None):
+        self.status = targetstatus.TargetStatus(require_announcement=True)
+        self.changes = []
+        self.is_recording = True
+        self.source = interfaces.StaticStateSource(model.FleetState())
+        self.source.fresh = False
+        self.recorded = record or model.Target(
+            "t", 0, service, "r", data_centre, "127.0.0.1:1"
+        )
+        self.source.state.targets["t"] = self.recorded
+        self.registration = registration.Registration(
+            ("t", 2),
+            self.status,
+            self.source,
+            lambda item: item in ("s1", "s2"),
+            self._on_change,
+        )
+        self.source.subscribe(self._on_state)
+        if record is None:
+            self.confirm_state()
+
+    def confirm_state(self):
+        """Deliver the directory's record to the daemon as a confirmed state."""
+        self.source.fresh = True
+        self.source.publish()
+
+    def record(self):
+        """Record in the directory what the daemon knows of its target."""
+        self.recorded.incarnation = 2
+        self.recorded.service = self.status.service or self.recorded.service
+        self.recorded.target_instance = self.status.label
+        self.recorded.departed = self.status.departed
+        self.source.publish()
+
+    def _on_change(self):
+        self.changes.append(self.status.accepts_calls)
+        if self.is_recording:
+            self.record()
+
+    def _on_state(self, state):
+        if self.registration.on_state(EPOCH_S) and self.is_recording:
+            self.record()
+
+
 SECRET = b"fleet secret of the tests"
 OPERATOR = ("op", "an operator's secret")
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -198,6 +198,7 @@
     async with fleetparts.Fleet(fleetparts.fleet_state()) as fleet:
         await fleet.daemon("a", "shop", await fleet.target(fleetparts.Recorder(slow)))
         address = fleet.address("a")
+        fleet.source.events.clear()
         running = asyncio.ensure_future(fleetparts.fetch(address))
         await asyncio.sleep(0.1)
         draining = asyncio.ensure_future(fleet.daemons["a"].drain())
--- /dev/null
+++ b/tests/test_registration.py
@@ -0,0 +1,116 @@
+"""Tests of what a daemon confirms to its target, and whose announcements count."""
+
+import asyncio
+
+import helpers
+import pytest
+
+from toucanfold import registration, targetstatus
+
+ADDRESS = "10.0.0.1:80"
+RECORDED = registration.Confirmation.RECORDED
+NOT_RECORDED = registration.Confirmation.NOT_RECORDED
+REJECTED = registration.Confirmation.REJECTED
+
+
+def announcement(instance="i-1", started_at_ms=1000, sequence=1, **changes):
+    fields = {
+        "is_ready": True,
+        "concurrency_limit": 9,
+        "service": "s1",
+        **changes,
+    }
+    return targetstatus.Announcement(instance, started_at_ms, sequence, **fields)
+
+
+def rig_of():
+    return helpers.RegistrationRig(ADDRESS, "z", "s1")
+
+
+async def announce(rig, item, unix_s=helpers.EPOCH_S):
+    now = asyncio.get_running_loop().time()
+    return await rig.registration.announce(now, unix_s, item)
+
+
+async def withdraw(rig, instance="i-1", unix_s=helpers.EPOCH_S):
+    now = asyncio.get_running_loop().time()
+    return await rig.registration.withdraw(now, unix_s, instance)
+
+
+async def drain(rig):
+    return await announce(rig, announcement(sequence=2, is_ready=False))
+
+
+def scenario(check):
+    def run():
+        helpers.run_in_virtual_time(check())
+
+    run.__name__, run.__doc__ = check.__name__, check.__doc__
+    return run
+
+
+@pytest.mark.parametrize("depart", [drain, withdraw])
+def test_departure_is_confirmed_only_once_control_has_recorded_it(depart):
+    """Guards against a confirmed departure that a restarted daemon does not know."""
+
+    async def check():
+        rig = rig_of()
+        assert await announce(rig, announcement()) is RECORDED
+        rig.is_recording = False
+        departing = asyncio.create_task(depart(rig))
+        await asyncio.sleep(0.5)
+        assert not departing.done()
+        assert not rig.status.accepts_calls
+        rig.record()
+        assert await departing is RECORDED
+
+    helpers.run_in_virtual_time(check())
+
+
+@pytest.mark.parametrize("depart", [drain, withdraw])
+def test_departure_that_control_cannot_record_is_not_confirmed(depart):
+    """Guards against a promise that is given while control has no leader."""
+
+    async def check():
+        rig = rig_of()
+        await announce(rig, announcement())
+        rig.is_recording = False
+        for _ in range(2):
+            assert await depart(rig) is NOT_RECORDED
+        assert not rig.status.accepts_calls
+        rig.record()
+        assert await depart(rig) is RECORDED
+
+    helpers.run_in_virtual_time(check())
+
+
+@scenario
+async def test_draining_counts_whatever_its_sequence_is():
+    """Guards against a confirmed departure that counts as stale and has no effect."""
+    rig = rig_of()
+    await announce(rig, announcement(sequence=1000))
+    assert await drain(rig) is RECORDED
+    assert not rig.status.accepts_calls
+    assert await announce(rig, announcement(sequence=1001)) is RECORDED
+    assert not rig.status.accepts_calls
+
+
+@scenario
+async def test_withdrawal_is_confirmed_again():
+    """Guards against a target that waits for a confirmation which was lost."""
+    rig = rig_of()
+    await announce(rig, announcement())
+    assert await withdraw(rig) is RECORDED
+    assert await withdraw(rig) is RECORDED
+    await announce(rig, announcement("i-2", int(helpers.EPOCH_S * 1000) + 1))
+    assert await withdraw(rig) is RECORDED
+    assert rig.status.accepts_calls
+
+
+@scenario
+async def test_start_that_changes_its_service_is_rejected():
+    """Guards against a service that another writer gives to the target's own start."""
+    rig = rig_of()
+    await announce(rig, announcement())
+    assert await announce(rig, announcement(sequence=2, service="s2")) is REJECTED
+    assert rig.status.service == "s1"
--- /dev/null
+++ b/tests/test_targetlife.py
@@ -0,0 +1,67 @@
+"""Targets that report, leave and are replaced while their daemons restart."""
+
+import asyncio
+import json
+
+import pytest
+import targetsim
+
+
+def check(script, seed=1):
+    """Play a script without random disturbances; it must break no rule."""
+
+    async def settle_and_run(world):
+        world.is_disturbed = False
+        start = world.begin("shop", True)
+        reporting = asyncio.ensure_future(world.report_until(start, 2.0))
+        await asyncio.sleep(3.0)
+        await reporting
+        assert world.has_placed_call("shop")
+        await script(world, start)
+
+    world = targetsim.play(seed, settle_and_run)
+    assert not world.faults, "\n".join(world.trace)
+
+
+async def confirm(world, start, way):
+    """Let a target leave; return whether that is confirmed within a second."""
+    start.is_leaving = True
+    send = world.report_draining if way == "drain" else world.withdraw
+    is_confirmed = await send(start)
+    if is_confirmed:
+        start.departure_confirmed_at = world.now
+    return is_confirmed
+
+
+@pytest.mark.parametrize("way", ["drain", "withdraw"])
+def test_confirmed_departure_outlasts_a_kill_of_the_daemon(way):
+    """Guards against a departure that is confirmed before it is recorded."""
+
+    async def script(world, start):
+        late = json.dumps(start.report("ready", world.target_address)).encode()
+        assert await confirm(world, start, way)
+        await world.end_daemon("SIGKILL")
+        await asyncio.sleep(1.0)
+        await world.deliver(start, late)
+        await world.watch_for(6.0)
+
+    check(script)
+
+
+@pytest.mark.parametrize("way", ["drain", "withdraw"])
+def test_departure_is_confirmed_only_while_control_has_a_majority(way):
+    """Guards against a promise that is lost with the daemon, as nobody recorded it."""
+
+    async def script(world, start):
+        late = json.dumps(start.report("ready", world.target_address)).encode()
+        world.replica.majority.clear()
+        is_confirmed = await confirm(world, start, way)
+        await world.end_daemon("SIGKILL")
+        world.replica.majority.set()
+        await asyncio.sleep(1.0)
+        await world.deliver(start, late)
+        await world.watch_for(6.0)
+        assert not is_confirmed
+        assert await confirm(world, start, way)
+
+    check(script)
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -46,6 +46,7 @@
     plugins,
     pressure,
     ratelimiter,
+    registration,
     reloading,
     remotetokens,
     restartwatch,
@@ -193,6 +194,7 @@
             httpserver.Limits(max_body=0),
         )
         self._extra_servers: list[httpserver.Server] = []
+        self.registration = self._make_registration()
         self._draining = False
         self._plugin_settings = ("", "", 0, 0)
         self._report_timer: asyncio.TimerHandle | None = None
@@ -394,7 +396,7 @@
             for slot in state.slots.values()
         )
 
-    def knows_service(self, service: str) -> bool:
+    def _knows_service(self, service: str) -> bool:
         """Whether a target may be one of this service.
 
         Services are named by the settings, declared, or called by a route.
@@ -406,10 +408,6 @@
             or any(service in route.services for route in state.routes.values())
         )
 
-    async def on_target_status(self) -> None:
-        """Apply a status change of the local target and announce it to the fleet."""
-        self._apply_target_status()
-
     def _apply_target_status(self) -> None:
         status = self.target_status
         if status.service not in ("", self.service):
@@ -512,6 +510,16 @@
         earned = retries.USED_REPEAT_FRACTION * fraction
         return retries.RetryBudgets(earned, capacity=1.0, start=0.0)
 
+    def _make_registration(self) -> registration.Registration:
+        identity = self._identity
+        return registration.Registration(
+            (identity.name, identity.incarnation),
+            self.target_status,
+            self.source,
+            self._knows_service,
+            self._apply_target_status,
+        )
+
     def _make_sender(self) -> forward.RetryingSender:
         self.peers.on_link = self.router.on_link
         return forward.RetryingSender(
@@ -546,11 +554,7 @@
     def _on_state(self, state: model.FleetState) -> None:
         """Apply a new fleet state."""
         now = asyncio.get_running_loop().time()
-        own_target = state.targets.get(self._identity.name)
-        if own_target is not None and self.target_status.on_recorded_departure(
-            time.time(), own_target.departed
-        ):
-            logging.info("target %s is recorded as leaving", own_target.departed)
+        if self.registration.on_state(time.time()):
             self._on_target_leaving()
         self.crash_guard.on_recorded(state.quarantined_digests())
         self.router.update(now, state)
--- a/toucanfold/platform/announcements.py
+++ b/toucanfold/platform/announcements.py
@@ -2,33 +2,31 @@
 
 import asyncio
 import json
+import time
 import urllib.parse
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from absl import logging
 
-from toucanfold import httpserver, targetstatus
+from toucanfold import httpserver, registration, targetstatus
 
 PREFIX = "/instances/"
+_RESPONSE_BY_CONFIRMATION = {
+    registration.Confirmation.RECORDED: (200, b"{}"),
+    registration.Confirmation.NOT_RECORDED: (503, b'{"error":"not recorded"}'),
+    registration.Confirmation.REJECTED: (400, b'{"error":"not an announcement"}'),
+}
 _IS_READY_BY_STATE = {"ready": True, "draining": False}
 
 
 class AnnouncementHandler:
-    """HTTP handler that applies a target's announcements to its target status.
+    """HTTP handler that passes a target's announcements to its registration.
 
     PUT announces an instance, DELETE withdraws it.
     """
 
-    def __init__(
-        self,
-        target_status: targetstatus.TargetStatus,
-        on_change: Callable[[], Awaitable[None]],
-        knows_service: Callable[[str], bool],
-    ):
-        self._target_status = target_status
-        self._on_change = on_change
-        self._knows_service = knows_service
+    def __init__(self, target: registration.Registration):
+        self._registration = target
 
     def protocol_error(self, status: int, message: str) -> httpserver.Response:
         """Return the response to a malformed request."""
@@ -41,23 +39,23 @@
         return httpserver.Response(404, [], b"no such call\n")
 
     async def handle(self, request: httpserver.Request) -> httpserver.Response:
-        """Apply one announcement; it is acknowledged once it is in effect here."""
+        """Apply one announcement; it is acknowledged once control has recorded it."""
         instance = _instance_of(request)
-        now = asyncio.get_running_loop().time()
+        now, unix_s = asyncio.get_running_loop().time(), time.time()
         if request.method == "DELETE":
-            is_update = self._target_status.on_instance_left(now, instance)
+            confirmation = await self._registration.withdraw(now, unix_s, instance)
         else:
             announcement = read(instance, request.body)
-            if announcement is None or not self._knows_service(announcement.service):
-                logging.warning(
-                    "rejected an invalid announcement of instance %s", instance
-                )
-                return httpserver.Response(400, [], b"not an announcement\n")
-            is_update = self._target_status.on_announcement(now, announcement)
-        if is_update:
-            await self._on_change()
+            confirmation = (
+                registration.Confirmation.REJECTED
+                if announcement is None
+                else await self._registration.announce(now, unix_s, announcement)
+            )
+        if confirmation is registration.Confirmation.REJECTED:
+            logging.warning("rejected an invalid announcement of instance %s", instance)
+        status, body = _RESPONSE_BY_CONFIRMATION[confirmation]
         fields = [(b"content-type", b"application/json")]
-        return httpserver.Response(200, fields, b"{}")
+        return httpserver.Response(status, fields, body)
 
 
 def _instance_of(request: httpserver.Request) -> str:
--- a/toucanfold/platform/daemonprogram.py
+++ b/toucanfold/platform/daemonprogram.py
@@ -16,9 +16,7 @@
 
 def _listeners(daemon_instance: daemon.Daemon) -> list[httpserver.Listener]:
     announcement_handler = announcements.AnnouncementHandler(
-        daemon_instance.target_status,
-        daemon_instance.on_target_status,
-        daemon_instance.knows_service,
+        daemon_instance.registration
     )
     return [
         httpserver.Listener(
--- /dev/null
+++ b/toucanfold/registration.py
@@ -0,0 +1,137 @@
+"""Registration of a daemon's target: its announcements and their confirmation.
+
+A confirmation is a promise that outlasts this daemon: it is given only once control has
+recorded what the target stated, so that a restarted daemon reads it from the directory.
+"""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+from absl import logging
+
+from toucanfold import interfaces, model, targetstatus
+
+# Time in which control should record what a target stated. A target waits a second for
+# the confirmation and then sends its announcement again.
+CONFIRMATION_TIMEOUT_S = 0.8
+
+
+class Confirmation(enum.Enum):
+    """Result of an announcement or a withdrawal."""
+
+    RECORDED = "recorded"
+    # In effect here, if it is known which instance it concerns, but not recorded.
+    NOT_RECORDED = "not recorded"
+    # Not from the target beside this daemon.
+    REJECTED = "rejected"
+
+
+class Registration:
+    """Applies what the target states of itself, and confirms what control recorded."""
+
+    __slots__ = (
+        "_changed",
+        "_incarnation",
+        "_knows_service",
+        "_name",
+        "_on_change",
+        "_source",
+        "_status",
+    )
+
+    def __init__(
+        self,
+        identity: tuple[str, int],
+        status: targetstatus.TargetStatus,
+        source: interfaces.StateSource,
+        knows_service: Callable[[str], bool],
+        on_change: Callable[[], None],
+    ):
+        """Create a registration.
+
+        identity is the daemon's name and incarnation. on_change is called when the
+        status has changed.
+        """
+        self._name, self._incarnation = identity
+        self._status = status
+        self._source = source
+        self._knows_service = knows_service
+        self._on_change = on_change
+        self._changed = asyncio.Event()
+
+    @property
+    def _recorded(self) -> model.Target | None:
+        return self._source.state.targets.get(self._name)
+
+    async def announce(
+        self, now: float, unix_s: float, announcement: targetstatus.Announcement
+    ) -> Confirmation:
+        """Apply an announcement; return once it is recorded or the time is up.
+
+        now is the loop's time at which it arrived, and unix_s the Unix time (s).
+        """
+        if not self._is_own(announcement):
+            return Confirmation.REJECTED
+        self._apply(unix_s, announcement)
+        return await self._wait_until_recorded(now)
+
+    async def withdraw(self, now: float, unix_s: float, instance: str) -> Confirmation:
+        """Record that an instance has left; return as announce does."""
+        if self._status.on_instance_left(unix_s, instance):
+            self._on_change()
+        return await self._wait_until_recorded(now)
+
+    def on_state(self, unix_s: float) -> bool:
+        """Apply the directory's record of the target; False if nothing changes.
+
+        unix_s is the Unix time (s).
+        """
+        recorded = self._recorded
+        is_update = False
+        if recorded is not None and self._status.on_recorded_departure(
+            unix_s, recorded.departed
+        ):
+            logging.info("target %s is recorded as leaving", recorded.departed)
+            is_update = True
+        self._changed.set()
+        return is_update
+
+    def _apply(self, unix_s: float, announcement: targetstatus.Announcement) -> None:
+        if self._status.on_announcement(unix_s, announcement):
+            self._on_change()
+
+    def _is_own(self, announcement: targetstatus.Announcement) -> bool:
+        """Whether an announcement agrees with what is known of the target."""
+        return self._knows_service(
+            announcement.service
+        ) and not self._status.contradicts(announcement)
+
+    def _is_recorded(self) -> bool:
+        recorded, status = self._recorded, self._status
+        return (
+            recorded is not None
+            and recorded.incarnation == self._incarnation
+            and recorded.target_instance == status.label
+            and recorded.departed == status.departed
+            and status.serves(recorded.service)
+        )
+
+    async def _wait_until_recorded(self, now: float) -> Confirmation:
+        if await self._wait_until(now, self._is_recorded):
+            return Confirmation.RECORDED
+        logging.warning(
+            "control has not recorded target %s in time", self._status.label
+        )
+        return Confirmation.NOT_RECORDED
+
+    async def _wait_until(self, now: float, condition: Callable[[], bool]) -> bool:
+        """Wait for a condition on the fleet state; False once the time is up."""
+        try:
+            async with asyncio.timeout_at(now + CONFIRMATION_TIMEOUT_S):
+                while not condition():
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -1,7 +1,7 @@
 """Status of the instance of a daemon's local target.
 
-Where targets announce themselves, calls go only to the newest instance, and only while
-its last announcement is ready. Where they do not, the target is assumed to be ready.
+Where targets announce themselves, calls go only to the newest instance, until it
+announces that it is not ready. Where they do not, the target is assumed to be ready.
 """
 
 import dataclasses
@@ -65,9 +65,10 @@
         self._require_announcement = require_announcement
         self._is_listening = True
         self._newest: Announcement | None = None
-        # Start times (Unix ms) of instances that left or are leaving, by id.
+        # Start times (Unix ms) of instances that left, are leaving or have a
+        # successor, by id.
         self._terminated: dict[str, int] = {}
-        # Label of the last of them.
+        # Label of the last one that stated its departure.
         self._departed = ""
         self._is_unannounced_leaving = False
         # Unix time (ms) of the newest known departure of an unannounced target.
@@ -129,23 +130,43 @@
         """Whether the newest instance is one of this service, as far as it is known."""
         return self.service in ("", service)
 
-    def on_announcement(self, now: float, announcement: Announcement) -> bool:
-        """Apply an announcement; False if it is stale or its instance terminated."""
-        if self._newest is not None and announcement.order <= self._newest.order:
+    def on_announcement(self, unix_s: float, announcement: Announcement) -> bool:
+        """Apply an announcement; False if it is stale or its instance terminated.
+
+        A start that once stated that it is not ready is never used again, in whichever
+        order its announcements arrive. unix_s is the Unix time (s).
+        """
+        newest = self._newest
+        if self.contradicts(announcement) or self._is_terminated(announcement):
             return False
-        if self._is_terminated(announcement) or self._contradicts(announcement):
+        if newest is not None and announcement.started_at_ms < newest.started_at_ms:
             return False
-        self._newest = announcement
+        if newest is None or announcement.order > newest.order:
+            self._replace_newest(announcement)
+        elif announcement.is_ready:
+            return False
+        if not announcement.is_ready:
+            self._depart(announcement.instance, announcement.started_at_ms)
         return True
 
-    def on_instance_left(self, now: float, instance: str) -> bool:
-        """Record that an instance has left; False if it is not the newest."""
+    def on_instance_left(self, unix_s: float, instance: str) -> bool:
+        """Record that an instance has left; False if it is not the newest.
+
+        unix_s is the Unix time (s).
+        """
         newest = self._newest
         if newest is None or newest.instance != instance:
             return False
-        self._terminate(instance, newest.started_at_ms)
+        self._depart(instance, newest.started_at_ms)
         return True
 
+    def contradicts(self, announcement: Announcement) -> bool:
+        """Whether the same start has stated another service before."""
+        return self.start == (
+            announcement.instance,
+            announcement.started_at_ms,
+        ) and not self.serves(announcement.service)
+
     def on_leaving(self, unix_s: float, label: str) -> bool:
         """Apply a response that states that its instance is leaving.
 
@@ -158,7 +179,7 @@
         if self._newest is None:
             self._start_unannounced_departure(int(unix_s * 1000))
         else:
-            self._terminate(self._newest.instance, self._newest.started_at_ms)
+            self._depart(self._newest.instance, self._newest.started_at_ms)
         return True
 
     def on_recorded_departure(self, unix_s: float, label: str) -> bool:
@@ -172,7 +193,9 @@
             return False
         did_accept, since_ms = self.accepts_calls, int(text)
         if instance != UNANNOUNCED:
-            self._terminate(instance, since_ms)
+            # A departure that is known here is a later one, and not recorded yet.
+            if not self._departed:
+                self._depart(instance, since_ms)
         elif since_ms > max(
             self._unannounced_departure_ms, (unix_s - MAX_LEAVING_S) * 1000
         ):
@@ -199,10 +222,19 @@
         self._unannounced_departure_ms = since_ms
         self._departed = f"{since_ms}/{UNANNOUNCED}"
 
+    def _replace_newest(self, announcement: Announcement) -> None:
+        former = self._newest
+        if former is not None and former.instance != announcement.instance:
+            self._terminate(former.instance, former.started_at_ms)
+        self._newest = announcement
+
+    def _depart(self, instance: str, since_ms: int) -> None:
+        self._terminate(instance, since_ms)
+        self._departed = f"{since_ms}/{instance}"
+
     def _terminate(self, instance: str, started_at_ms: int) -> None:
-        self._terminated.pop(instance, None)
-        self._terminated[instance] = started_at_ms
-        self._departed = f"{started_at_ms}/{instance}"
+        last_ms = self._terminated.pop(instance, started_at_ms)
+        self._terminated[instance] = max(last_ms, started_at_ms)
         while len(self._terminated) > MAX_TERMINATED_INSTANCES:
             del self._terminated[next(iter(self._terminated))]
 
@@ -228,13 +260,6 @@
             )
         return calls.refuse(kind, message, retry_after_ms=RETRY_AFTER_MS)
 
-    def _contradicts(self, announcement: Announcement) -> bool:
-        # One start of a target cannot change its service.
-        return self.start == (
-            announcement.instance,
-            announcement.started_at_ms,
-        ) and not self.serves(announcement.service)
-
     def _is_terminated(self, announcement: Announcement) -> bool:
         # An id may be reused by a later start; earlier starts remain terminated.
         return announcement.started_at_ms <= self._terminated.get(
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -24,6 +24,9 @@
 # How often the holder is asked whether it has shares to return. A call that waits for a
 # grant uses ping_soon instead.
 HOLDER_POLL_INTERVAL_S = 0.1
+# For this time after a change of the target's status, pings follow each other without a
+# pause until control has recorded it: a target waits for that.
+HURRY_S = 1.0
 PONG_TIMEOUT_S = 0.9
 # Fraction by which the timeout grows with each failover without a confirmed pong, up to
 # MAX_COUNTED_PONG_TIMEOUTS times: while no instance has a leader, reconnecting daemons
@@ -106,6 +109,7 @@
         # Addresses of the members of control, nearest first.
         self._reported_instances: list[str] = []
         self._announcement = announcement
+        self._hurried_until = float("-inf")
         self._holder = holder
         self._tls = tls
         # Returns the slots of which this daemon holds a complete copy.
@@ -168,7 +172,8 @@
         self._announcement.departed = departed
         if self._announcement.state in ("up", "waiting"):
             self._announcement.state = "up" if is_ready else "waiting"
-            self._wake.set()
+        self._hurried_until = asyncio.get_running_loop().time() + HURRY_S
+        self._wake.set()
 
     def set_service(self, service: str) -> None:
         """Announce that the target is one of this service from now on."""
@@ -452,6 +457,8 @@
     def _is_ping_due(self, now: float) -> bool:
         if self._wake.is_set():
             return True
+        if now < self._hurried_until and self._unrecorded_announcement().name:
+            return True
         return self._holder is not None and self._holder.needs_early_ping(now)
 
     def _unrecorded_announcement(self) -> messages.Announcement:
