Reject announcements that are not those of the target beside the daemon

Cause: the settings name the target's address and data centre, and nothing compared an announcement with them. The reader required state, sequence and service only, so fields could be missing, of another type, or those of another target.

Why this works: what decides is whether the content agrees with what the daemon knows of its target, not which field is missing. What remains is an announcement that is whole and states this target's address, which cannot be told from a new target there.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -155,6 +155,7 @@
         self.source.state.targets["t"] = self.recorded
         self.registration = registration.Registration(
             ("t", 2),
+            (address, data_centre),
             self.status,
             self.source,
             lambda item: item in ("s1", "s2"),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -361,22 +361,25 @@
 }
 
 
+STATUS, INFO = ANNOUNCEMENT["status"], ANNOUNCEMENT["info"]
+
+
 def test_announcement_is_parsed():
     announcement = announcements.read("i-1", json.dumps(ANNOUNCEMENT).encode())
     assert announcement == targetstatus.Announcement(
-        "i-1", 1700000000000, 4, True, 72, 0.5, "s1"
+        "i-1", 1700000000000, 4, True, 72, 0.5, "s1", "10.128.0.9:8080", "z"
     )
 
 
 @pytest.mark.parametrize(
     "change",
     [
-        {"status": {"state": "asleep", "seq": 4}},
-        {"status": {"state": "ready", "seq": "4"}},
-        {"status": {"state": "ready", "seq": 4, "cold_remaining_ms": "x"}},
+        {"status": STATUS | {"state": "asleep"}},
+        {"status": STATUS | {"seq": "4"}},
+        {"status": STATUS | {"cold_remaining_ms": "x"}},
         {"status": None},
-        {"info": {"slots": "many"}},
-        {"info": {"slots": 72, "service": 1}},
+        {"info": INFO | {"slots": "many"}},
+        {"info": INFO | {"service": 1}},
         {"info": {"slots": 72}},
         {"born": 1.5},
         {"born": True},
@@ -388,6 +391,25 @@
         assert announcements.read("i-1", body) is None
 
 
+@pytest.mark.parametrize("value", [None, [], {}, True, "", "<missing>"])
+@pytest.mark.parametrize(
+    ("part", "field"),
+    [
+        (None, "address"),
+        *(("info", field) for field in INFO),
+        *(("status", field) for field in STATUS),
+    ],
+)
+def test_announcement_needs_each_field_with_its_type(part, field, value):
+    """Guards against another writer's announcement that counts as the target's own."""
+    content = json.loads(json.dumps(ANNOUNCEMENT))
+    fields = content if part is None else content[part]
+    fields[field] = value
+    if value == "<missing>":
+        del fields[field]
+    assert announcements.read("i-1", json.dumps(content).encode()) is None
+
+
 def test_announcements_update_the_target_status():
     async def check():
         rig = RegistrationRig("10.128.0.9:8080", "z", "s1")
--- a/tests/test_platformprocesses.py
+++ b/tests/test_platformprocesses.py
@@ -178,7 +178,8 @@
         }
         callers = f"{own}:8548"
         assert send_request(callers, "GET", "/x/1?q=2", headers=headers)[0] == 503
-        announcement = test_platform.ANNOUNCEMENT | {"born": 1}
+        info = test_platform.INFO | {"zone": "d1"}
+        announcement = test_platform.ANNOUNCEMENT | {"address": target, "info": info}
         announce = f"{own}:{CONTROL_PORT}"
         assert send_request(announce, "PUT", "/instances/i-1", announcement)[0] == 200
         status, answered, body = until(callers, "GET", "/x/1?q=2", 200, headers=headers)
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -1,6 +1,7 @@
 """Tests of what a daemon confirms to its target, and whose announcements count."""
 
 import asyncio
+import dataclasses
 
 import helpers
 import pytest
@@ -18,6 +19,8 @@
         "is_ready": True,
         "concurrency_limit": 9,
         "service": "s1",
+        "address": ADDRESS,
+        "data_centre": "z",
         **changes,
     }
     return targetstatus.Announcement(instance, started_at_ms, sequence, **fields)
@@ -107,6 +110,30 @@
     assert rig.status.accepts_calls
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.2:80"},
+        {"address": "10.0.0.1:81"},
+        {"address": "10.0.0.1"},
+        {"data_centre": "elsewhere"},
+        {"service": "unknown"},
+    ],
+)
+def test_announcement_of_another_target_is_rejected(change):
+    """Guards against another writer that changes the caller which is named."""
+
+    async def check():
+        rig = rig_of()
+        await announce(rig, announcement())
+        other = announcement("i-other", 2000, service="s2")
+        assert await announce(rig, dataclasses.replace(other, **change)) is REJECTED
+        assert (rig.status.instance, rig.status.service) == ("i-1", "s1")
+        assert await drain(rig) is RECORDED
+
+    helpers.run_in_virtual_time(check())
+
+
 @scenario
 async def test_start_that_changes_its_service_is_rejected():
     """Guards against a service that another writer gives to the target's own start."""
--- a/tests/test_targetlife.py
+++ b/tests/test_targetlife.py
@@ -65,3 +65,20 @@
         assert await confirm(world, start, way)
 
     check(script)
+
+
+@pytest.mark.parametrize("spoil", targetsim.SPOILERS)
+def test_report_of_another_writer_changes_nothing(spoil):
+    """Guards against a caller's service that a report of another target changes, and
+    against a departure without effect after such a report.
+    """
+
+    async def script(world, start):
+        for _ in range(8):
+            await world.report_as_another_writer(spoil)
+            await world.watch_for(0.2)
+        assert world.has_placed_call("shop")
+        assert await confirm(world, start, "drain")
+        await world.watch_for(5.0)
+
+    check(script)
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -514,6 +514,7 @@
         identity = self._identity
         return registration.Registration(
             (identity.name, identity.incarnation),
+            (self._get("target_address"), identity.data_centre),
             self.target_status,
             self.source,
             self._knows_service,
--- a/toucanfold/platform/announcements.py
+++ b/toucanfold/platform/announcements.py
@@ -70,20 +70,18 @@
     try:
         data = json.loads(body)
         info, status = data["info"], data["status"]
-        is_ready = _IS_READY_BY_STATE[status["state"]]
-        # A target of a version that does not report its start time counts as oldest.
-        started_at_ms = _integer(data.get("born", 0), targetstatus.MAX_START_MS)
-        warmup_ms = status.get("cold_remaining_ms") or 0
-        if not 0 <= warmup_ms <= targetstatus.MAX_WARMUP_S * 1000:
-            return None
+        _text(info["version"])
         return targetstatus.Announcement(
             instance,
-            started_at_ms,
+            # A target that does not report its start time counts as oldest.
+            _integer(data.get("born", 0), targetstatus.MAX_START_MS),
             _integer(status["seq"], targetstatus.MAX_SEQUENCE),
-            is_ready,
-            _integer(info.get("slots", 0), targetstatus.MAX_CONCURRENCY_LIMIT),
-            warmup_ms / 1000,
-            _text(info["service"]),
+            _IS_READY_BY_STATE[status["state"]],
+            _integer(info["slots"], targetstatus.MAX_CONCURRENCY_LIMIT),
+            _warmup_s(status["cold_remaining_ms"]),
+            service=_text(info["service"]),
+            address=_text(data["address"]),
+            data_centre=_text(info["zone"]),
         )
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
@@ -92,9 +90,19 @@
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not a text")
+    if not value:
+        raise ValueError("the text is empty")
     return value
 
 
+def _warmup_s(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is not a number")
+    if not 0 <= value <= targetstatus.MAX_WARMUP_S * 1000:
+        raise ValueError(f"{value!r} ms is not a warm-up time")
+    return value / 1000
+
+
 def _integer(value: Any, maximum: int) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not an integer")
--- a/toucanfold/registration.py
+++ b/toucanfold/registration.py
@@ -31,7 +31,9 @@
     """Applies what the target states of itself, and confirms what control recorded."""
 
     __slots__ = (
+        "_address",
         "_changed",
+        "_data_centre",
         "_incarnation",
         "_knows_service",
         "_name",
@@ -43,6 +45,7 @@
     def __init__(
         self,
         identity: tuple[str, int],
+        location: tuple[str, str],
         status: targetstatus.TargetStatus,
         source: interfaces.StateSource,
         knows_service: Callable[[str], bool],
@@ -50,10 +53,11 @@
     ):
         """Create a registration.
 
-        identity is the daemon's name and incarnation. on_change is called when the
-        status has changed.
+        identity is the daemon's name and incarnation, location the target's address and
+        data centre. on_change is called when the status has changed.
         """
         self._name, self._incarnation = identity
+        self._address, self._data_centre = location
         self._status = status
         self._source = source
         self._knows_service = knows_service
@@ -103,9 +107,12 @@
 
     def _is_own(self, announcement: targetstatus.Announcement) -> bool:
         """Whether an announcement agrees with what is known of the target."""
-        return self._knows_service(
-            announcement.service
-        ) and not self._status.contradicts(announcement)
+        return (
+            announcement.address == self._address
+            and announcement.data_centre == self._data_centre
+            and self._knows_service(announcement.service)
+            and not self._status.contradicts(announcement)
+        )
 
     def _is_recorded(self) -> bool:
         recorded, status = self._recorded, self._status
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -31,7 +31,8 @@
 
     started_at_ms is the start of the instance in Unix time, in milliseconds; sequence
     increases with each announcement. warmup_s is the remaining warm-up time in
-    seconds. service is the service of the instance, empty if it states none.
+    seconds. service is the service of the instance, empty if it states none, and so
+    are its address (host:port) and its data centre.
     """
 
     instance: str
@@ -41,6 +42,8 @@
     concurrency_limit: int
     warmup_s: float = 0.0
     service: str = ""
+    address: str = ""
+    data_centre: str = ""
 
     @property
     def order(self) -> tuple[int, int]:
