Restore what the directory knows of a target when its daemon restarts

Cause: a daemon that had just started knew no instance, so a withdrawal changed nothing and was confirmed; its first announcement even removed the recorded start from the directory. The late report of the same start then counted as the first one of a new target. In the same way a late report of the former target at the address was accepted.

Change: a daemon announces and confirms nothing before its first confirmed state, and takes the newest start of its target and the last departure from it. Announcements that arrive before wait for it. The withdrawal of an unknown instance is not confirmed. A withdrawal, which names no start, counts for all starts of the id up to its own time, for 10 s.

Why this works: what an earlier incarnation confirmed was recorded before, and a confirmed state that answers a ping of this incarnation holds all that was recorded before it.

Evidence: test_restarted_daemon_keeps_the_departure_that_it_confirms[SIGTERM-withdraw] and [SIGKILL-withdraw] fail on the commit before and pass here.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -184,7 +184,7 @@
             self.record()
 
     def _on_state(self, state):
-        if self.registration.on_state(EPOCH_S) and self.is_recording:
+        if self.registration.on_state(0.0, EPOCH_S) and self.is_recording:
             self.record()
 
 
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -6,7 +6,7 @@
 import helpers
 import pytest
 
-from toucanfold import registration, targetstatus
+from toucanfold import model, registration, targetstatus
 
 ADDRESS = "10.0.0.1:80"
 RECORDED = registration.Confirmation.RECORDED
@@ -26,8 +26,13 @@
     return targetstatus.Announcement(instance, started_at_ms, sequence, **fields)
 
 
-def rig_of():
-    return helpers.RegistrationRig(ADDRESS, "z", "s1")
+def rig_of(record=None):
+    return helpers.RegistrationRig(ADDRESS, "z", "s1", record=record)
+
+
+def recorded_target(service="s1", **fields):
+    """Return the directory's record of an earlier incarnation of the daemon."""
+    return model.Target("t", 1, service, "r", "z", "127.0.0.1:1", **fields)
 
 
 async def announce(rig, item, unix_s=helpers.EPOCH_S):
@@ -98,6 +103,63 @@
     assert not rig.status.accepts_calls
 
 
+@scenario
+async def test_restarted_daemon_remembers_the_instance_that_withdraws():
+    """Guards against a late announcement that revives an instance which left while
+    its restarted daemon did not know it.
+    """
+    rig = rig_of(recorded_target(target_instance="1000/i-1"))
+    rig.confirm_state()
+    assert await withdraw(rig) is RECORDED
+    assert rig.recorded.departed.endswith("/i-1")
+    await announce(rig, announcement(sequence=9))
+    assert not rig.status.accepts_calls
+    successor = announcement("i-2", int(helpers.EPOCH_S * 1000) + 5000)
+    assert await announce(rig, successor) is RECORDED
+    assert rig.status.accepts_calls
+
+
+@scenario
+async def test_nothing_is_confirmed_before_the_directory_is_known():
+    """Guards against a daemon that confirms what its former incarnation knew."""
+    rig = rig_of(recorded_target(target_instance="1000/i-1", departed="1000/i-1"))
+    assert await withdraw(rig) is NOT_RECORDED
+    assert await announce(rig, announcement()) is NOT_RECORDED
+    assert not rig.status.accepts_calls
+    rig.confirm_state()
+    assert await announce(rig, announcement(sequence=2)) is RECORDED
+    assert not rig.status.accepts_calls
+
+
+@scenario
+async def test_announcement_that_waited_for_the_directory_counts():
+    """Guards against a target that waits for its next announcement."""
+    rig = rig_of(recorded_target())
+    assert await announce(rig, announcement()) is NOT_RECORDED
+    rig.confirm_state()
+    assert rig.status.accepts_calls
+
+
+@scenario
+async def test_earlier_start_than_the_recorded_one_is_stale():
+    """Guards against a late announcement of the former target at the address."""
+    rig = rig_of(recorded_target("s2", target_instance="2000/i-2"))
+    rig.confirm_state()
+    await announce(rig, announcement("i-1", 1000))
+    assert not rig.status.accepts_calls
+    assert rig.status.service != "s1"
+
+
+@scenario
+async def test_withdrawal_of_an_unknown_instance_is_not_confirmed():
+    """Guards against a promise about an instance whose start is not known."""
+    rig = rig_of()
+    assert await withdraw(rig, "i-9") is NOT_RECORDED
+    await announce(rig, announcement())
+    assert await withdraw(rig, "i-9") is NOT_RECORDED
+    assert rig.status.accepts_calls
+
+
 @scenario
 async def test_withdrawal_is_confirmed_again():
     """Guards against a target that waits for a confirmation which was lost."""
--- a/tests/test_targetlife.py
+++ b/tests/test_targetlife.py
@@ -67,6 +67,22 @@
     check(script)
 
 
+@pytest.mark.parametrize("way", ["drain", "withdraw"])
+@pytest.mark.parametrize("number", ["SIGTERM", "SIGKILL"])
+def test_restarted_daemon_keeps_the_departure_that_it_confirms(way, number):
+    """Guards against a departure that is confirmed for an unknown instance."""
+
+    async def script(world, start):
+        late = json.dumps(start.report("ready", world.target_address)).encode()
+        await world.end_daemon(number)
+        while not await confirm(world, start, way):
+            await asyncio.sleep(0.1)
+        await world.deliver(start, late)
+        await world.watch_for(6.0)
+
+    check(script)
+
+
 @pytest.mark.parametrize("spoil", targetsim.SPOILERS)
 def test_report_of_another_writer_changes_nothing(spoil):
     """Guards against a caller's service that a report of another target changes, and
--- a/tests/test_targetstatus.py
+++ b/tests/test_targetstatus.py
@@ -62,6 +62,31 @@
     assert status.accepts_calls
 
 
+def test_withdrawn_start_whose_announcements_are_late_gets_no_calls():
+    """Guards against a withdrawal that counts only for an earlier start of its id."""
+    status = targetstatus.TargetStatus(require_announcement=True)
+    status.on_announcement(0.0, announcement(started_at_ms=10))
+    assert status.on_instance_left(30.0, "i-1")
+    late = announcement(started_at_ms=29_000)
+    assert not status.on_announcement(33.0, late)
+    restarted = targetstatus.TargetStatus(require_announcement=True)
+    restarted.restore(status.label)
+    restarted.on_recorded_departure(32.0, status.departed)
+    assert not restarted.on_announcement(33.0, late)
+    assert not restarted.accepts_calls
+
+
+def test_new_start_is_used_although_the_daemons_clock_is_ahead():
+    """Guards against a target that is never used since it seems to have left before."""
+    status = targetstatus.TargetStatus(require_announcement=True)
+    status.on_announcement(0.0, announcement(started_at_ms=10))
+    status.on_instance_left(30.0, "i-1")
+    restarted = announcement(started_at_ms=29_000)
+    assert not status.on_announcement(39.9, restarted)
+    assert status.on_announcement(40.0, restarted)
+    assert status.accepts_calls
+
+
 def test_recorded_departure_does_not_replace_a_later_one():
     """Guards against a departure that is lost while control sends an earlier one."""
     status = targetstatus.TargetStatus(require_announcement=True)
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -413,7 +413,8 @@
         if status.service not in ("", self.service):
             self._change_service(status.service)
         self.dispatcher.on_target_status()
-        self.source.set_ready(status.accepts_calls, status.label, status.departed)
+        if self.registration.is_restored:
+            self.source.set_ready(status.accepts_calls, status.label, status.departed)
 
     def _change_service(self, service: str) -> None:
         """Serve a target of another service, which uses the target's address now."""
@@ -555,7 +556,7 @@
     def _on_state(self, state: model.FleetState) -> None:
         """Apply a new fleet state."""
         now = asyncio.get_running_loop().time()
-        if self.registration.on_state(time.time()):
+        if self.registration.on_state(now, time.time()):
             self._on_target_leaving()
         self.crash_guard.on_recorded(state.quarantined_digests())
         self.router.update(now, state)
@@ -740,8 +741,8 @@
     holder = limits.ShareHolder()
     source = make_watch(setup, identity, holder)
     rate = ratelimiter.AccountRateLimiter(holder, source.ping_soon)
-    if target_status is not None:
-        source.announce_as(target_status.accepts_calls)
+    # The daemon announces the target once it knows what earlier incarnations recorded.
+    source.withhold_announcement()
     source.start()
     daemon = Daemon(
         settings,
--- a/toucanfold/registration.py
+++ b/toucanfold/registration.py
@@ -15,6 +15,8 @@
 # Time in which control should record what a target stated. A target waits a second for
 # the confirmation and then sends its announcement again.
 CONFIRMATION_TIMEOUT_S = 0.8
+# Announcements that are kept until the directory's record is known.
+MAX_PENDING_ANNOUNCEMENTS = 16
 
 
 class Confirmation(enum.Enum):
@@ -38,8 +40,10 @@
         "_knows_service",
         "_name",
         "_on_change",
+        "_pending",
         "_source",
         "_status",
+        "is_restored",
     )
 
     def __init__(
@@ -62,6 +66,9 @@
         self._source = source
         self._knows_service = knows_service
         self._on_change = on_change
+        # Whether it is known what earlier incarnations of this daemon have recorded.
+        self.is_restored = False
+        self._pending: list[targetstatus.Announcement] = []
         self._changed = asyncio.Event()
 
     @property
@@ -75,24 +82,42 @@
 
         now is the loop's time at which it arrived, and unix_s the Unix time (s).
         """
+        if not self.is_restored:
+            self._pending.append(announcement)
+            del self._pending[:-MAX_PENDING_ANNOUNCEMENTS]
+            if not await self._wait_until(now, lambda: self.is_restored):
+                return Confirmation.NOT_RECORDED
         if not self._is_own(announcement):
             return Confirmation.REJECTED
         self._apply(unix_s, announcement)
         return await self._wait_until_recorded(now)
 
     async def withdraw(self, now: float, unix_s: float, instance: str) -> Confirmation:
-        """Record that an instance has left; return as announce does."""
+        """Record that an instance has left; return as announce does.
+
+        The withdrawal of an instance that is not known is not confirmed: a delayed
+        announcement could not be told from one of a new start.
+        """
+        if not await self._wait_until(now, lambda: self.is_restored):
+            return Confirmation.NOT_RECORDED
         if self._status.on_instance_left(unix_s, instance):
             self._on_change()
+        if not self._status.has_left(instance):
+            logging.warning("withdrawal of the unknown instance %s", instance)
+            return Confirmation.NOT_RECORDED
         return await self._wait_until_recorded(now)
 
-    def on_state(self, unix_s: float) -> bool:
+    def on_state(self, now: float, unix_s: float) -> bool:
         """Apply the directory's record of the target; False if nothing changes.
 
-        unix_s is the Unix time (s).
+        The first confirmed state holds what earlier incarnations of this daemon have
+        recorded. unix_s is the Unix time (s).
         """
         recorded = self._recorded
         is_update = False
+        if not self.is_restored and self._source.is_fresh(now):
+            self._restore(unix_s, recorded)
+            is_update = True
         if recorded is not None and self._status.on_recorded_departure(
             unix_s, recorded.departed
         ):
@@ -101,6 +126,15 @@
         self._changed.set()
         return is_update
 
+    def _restore(self, unix_s: float, recorded: model.Target | None) -> None:
+        self.is_restored = True
+        if recorded is not None:
+            self._status.restore(recorded.target_instance)
+        for announcement in self._pending:
+            if self._is_own(announcement):
+                self._status.on_announcement(unix_s, announcement)
+        self._pending.clear()
+
     def _apply(self, unix_s: float, announcement: targetstatus.Announcement) -> None:
         if self._status.on_announcement(unix_s, announcement):
             self._on_change()
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -15,8 +15,13 @@
 MAX_SEQUENCE = 1 << 53
 MAX_CONCURRENCY_LIMIT = 1_000_000
 MAX_WARMUP_S = 86_400.0
+# Sequence of an instance that only the directory of targets knows.
+RESTORED_SEQUENCE = -1
 # Number of terminated instances kept, to reject their delayed announcements.
 MAX_TERMINATED_INSTANCES = 64
+# Announcements arrive seconds late. For this time after an instance was withdrawn,
+# starts of the same instance from before the withdrawal are taken for that one.
+WITHDRAWAL_S = 10.0
 # Id in the recorded departure of a target that does not announce itself. Its label
 # holds the time of the statement, since its start is not known.
 UNANNOUNCED = "unannounced"
@@ -62,6 +67,7 @@
         "_require_announcement",
         "_terminated",
         "_unannounced_departure_ms",
+        "_withdrawn",
     )
 
     def __init__(self, require_announcement: bool = False):
@@ -71,6 +77,8 @@
         # Start times (Unix ms) of instances that left, are leaving or have a
         # successor, by id.
         self._terminated: dict[str, int] = {}
+        # Id of the last withdrawn instance, and Unix time (ms) of the withdrawal.
+        self._withdrawn = ("", 0)
         # Label of the last one that stated its departure.
         self._departed = ""
         self._is_unannounced_leaving = False
@@ -129,6 +137,10 @@
         """Whether a target without announcements is leaving."""
         return self._is_unannounced_leaving
 
+    @property
+    def _has_announced_itself(self) -> bool:
+        return self._newest is not None and self._newest.sequence != RESTORED_SEQUENCE
+
     def serves(self, service: str) -> bool:
         """Whether the newest instance is one of this service, as far as it is known."""
         return self.service in ("", service)
@@ -142,6 +154,8 @@
         newest = self._newest
         if self.contradicts(announcement) or self._is_terminated(announcement):
             return False
+        if self._is_withdrawn(unix_s, announcement):
+            return False
         if newest is not None and announcement.started_at_ms < newest.started_at_ms:
             return False
         if newest is None or announcement.order > newest.order:
@@ -155,14 +169,23 @@
     def on_instance_left(self, unix_s: float, instance: str) -> bool:
         """Record that an instance has left; False if it is not the newest.
 
-        unix_s is the Unix time (s).
+        unix_s is the Unix time (s). The withdrawal may be that of a later start, whose
+        announcements are still on their way, so the departure holds the present time.
         """
         newest = self._newest
         if newest is None or newest.instance != instance:
             return False
-        self._depart(instance, newest.started_at_ms)
+        left_ms = max(newest.started_at_ms, int(unix_s * 1000))
+        self._depart(instance, left_ms)
         return True
 
+    def has_left(self, instance: str) -> bool:
+        """Whether all known starts of an instance have left, are leaving or ended."""
+        newest = self._newest
+        if newest is not None and newest.instance == instance:
+            return self._is_terminated(newest)
+        return instance in self._terminated
+
     def contradicts(self, announcement: Announcement) -> bool:
         """Whether the same start has stated another service before."""
         return self.start == (
@@ -170,6 +193,17 @@
             announcement.started_at_ms,
         ) and not self.serves(announcement.service)
 
+    def restore(self, label: str) -> None:
+        """Apply the newest start that the directory of targets records.
+
+        No call goes to it until it announces itself again; earlier starts are stale.
+        """
+        text, _, instance = label.partition("/")
+        if instance and (self._newest is None or int(text) > self.start[1]):
+            self._newest = Announcement(
+                instance, int(text), RESTORED_SEQUENCE, False, concurrency_limit=0
+            )
+
     def on_leaving(self, unix_s: float, label: str) -> bool:
         """Apply a response that states that its instance is leaving.
 
@@ -232,7 +266,13 @@
         self._newest = announcement
 
     def _depart(self, instance: str, since_ms: int) -> None:
-        self._terminate(instance, since_ms)
+        newest = self._newest
+        is_later = newest is not None and newest.started_at_ms < since_ms
+        if newest is not None and newest.instance == instance and is_later:
+            self._terminate(instance, newest.started_at_ms)
+            self._withdrawn = instance, since_ms
+        else:
+            self._terminate(instance, since_ms)
         self._departed = f"{since_ms}/{instance}"
 
     def _terminate(self, instance: str, started_at_ms: int) -> None:
@@ -255,7 +295,7 @@
             if self._is_listening
             else "the target has ended",
         )
-        is_leaving = self._newest is not None or self._is_unannounced_leaving
+        is_leaving = self._has_announced_itself or self._is_unannounced_leaving
         if is_leaving and self._is_listening:
             kind, message = (
                 calls.RefusalKind.STOPPING,
@@ -263,6 +303,14 @@
             )
         return calls.refuse(kind, message, retry_after_ms=RETRY_AFTER_MS)
 
+    def _is_withdrawn(self, unix_s: float, announcement: Announcement) -> bool:
+        instance, left_ms = self._withdrawn
+        return (
+            announcement.instance == instance
+            and announcement.started_at_ms <= left_ms
+            and unix_s * 1000 < left_ms + WITHDRAWAL_S * 1000
+        )
+
     def _is_terminated(self, announcement: Announcement) -> bool:
         # An id may be reused by a later start; earlier starts remain terminated.
         return announcement.started_at_ms <= self._terminated.get(
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -109,6 +109,7 @@
         # Addresses of the members of control, nearest first.
         self._reported_instances: list[str] = []
         self._announcement = announcement
+        self._is_withheld = False
         self._hurried_until = float("-inf")
         self._holder = holder
         self._tls = tls
@@ -117,6 +118,7 @@
         # Returns the quarantined requests that control does not know yet.
         self.quarantined: Callable[[], list[bytes]] = list
         self._watch_state = watchstate.WatchState()
+        self._has_been_fresh = False
         self.state = self._watch_state.state
         self._callbacks: list[Callback] = []
         self._link: link.Link | None = None
@@ -157,9 +159,9 @@
         self._seeds = list(addresses)
         self._order_addresses()
 
-    def announce_as(self, is_ready: bool) -> None:
-        """Set the state that is announced first; to be called before start."""
-        self._announcement.state = "up" if is_ready else "waiting"
+    def withhold_announcement(self) -> None:
+        """Announce nothing until set_ready is called; to be called before start."""
+        self._is_withheld = True
 
     def set_ready(
         self, is_ready: bool, target_instance: str = "", departed: str = ""
@@ -168,6 +170,7 @@
 
         target_instance and departed are labels of targetstatus.TargetStatus.
         """
+        self._is_withheld = False
         self._announcement.target_instance = target_instance
         self._announcement.departed = departed
         if self._announcement.state in ("up", "waiting"):
@@ -224,7 +227,9 @@
             return
         before = self._watch_state.revision
         sent_at = self._watch_state.on_pong(now, message)
-        if self._watch_state.revision != before:
+        is_first = sent_at is not None and not self._has_been_fresh
+        if self._watch_state.revision != before or is_first:
+            self._has_been_fresh = self._has_been_fresh or is_first
             self._publish_state(now)
             # Confirm the revision, or request deltas that did not fit into the pong.
             self._wake.set()
@@ -282,6 +287,8 @@
         accepted_states: tuple[str, ...],
         timeout_s: float = ANNOUNCE_TIMEOUT_S,
     ) -> None:
+        if self._is_withheld:
+            return
         self._announcement.state = state
         self._wake.set()
         try:
@@ -462,7 +469,9 @@
         return self._holder is not None and self._holder.needs_early_ping(now)
 
     def _unrecorded_announcement(self) -> messages.Announcement:
-        """Return the announcement, an empty one if control has recorded it."""
+        """Return the announcement; an empty one if it is recorded or withheld."""
+        if self._is_withheld:
+            return messages.Announcement()
         recorded = self.state.targets.get(self._announcement.name)
         if recorded is not None and _values_of(recorded) == _values_of(
             self._announcement
