Keep which of settings and target stated the service last

Cause: the settings and the target both state the service, and their order was not kept. Changed settings did not count while a target was known, and unchanged ones counted at each start.

Change: changed settings count from their change until a later start reports; the newest known start counts as departed. The directory holds the service of the settings where it differs from that of the newest start, so that a restarted daemon can tell whether its settings have changed since. The field is left out where it is empty, as in all fleets whose addresses keep their service.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -156,6 +156,7 @@
         self.registration = registration.Registration(
             ("t", 2),
             (address, data_centre),
+            service,
             self.status,
             self.source,
             lambda item: item in ("s1", "s2"),
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -143,11 +143,14 @@
 @scenario
 async def test_earlier_start_than_the_recorded_one_is_stale():
     """Guards against a late announcement of the former target at the address."""
-    rig = rig_of(recorded_target("s2", target_instance="2000/i-2"))
+    recorded = recorded_target(
+        "s2", target_instance="2000/i-2", configured_service="s1"
+    )
+    rig = rig_of(recorded)
     rig.confirm_state()
     await announce(rig, announcement("i-1", 1000))
     assert not rig.status.accepts_calls
-    assert rig.status.service != "s1"
+    assert rig.status.service == "s2"
 
 
 @scenario
@@ -203,3 +206,45 @@
     await announce(rig, announcement())
     assert await announce(rig, announcement(sequence=2, service="s2")) is REJECTED
     assert rig.status.service == "s1"
+
+
+@pytest.mark.parametrize(
+    ("recorded", "settings", "expected"),
+    [
+        # The settings never named the target's service.
+        (recorded_target("s2", configured_service="s1"), "s1", "s2"),
+        # They have changed since the target announced itself.
+        (recorded_target("s2"), "s1", "s1"),
+        (recorded_target("s2", configured_service="s3"), "s1", "s1"),
+        (recorded_target("s1"), "s1", "s1"),
+    ],
+)
+def test_restarted_daemon_knows_the_service_at_a_reused_address(
+    recorded, settings, expected
+):
+    """Guards against a restarted daemon that names another service as the caller."""
+
+    async def check():
+        recorded.target_instance = "1000/i-1"
+        rig = helpers.RegistrationRig(ADDRESS, "z", settings, record=recorded)
+        rig.confirm_state()
+        assert rig.status.service == expected
+        late = announcement("i-1", 1000, 9, service="s2")
+        await announce(rig, late)
+        assert rig.status.service == expected
+
+    helpers.run_in_virtual_time(check())
+
+
+@scenario
+async def test_changed_settings_name_the_service_before_the_first_announcement():
+    """Guards against calls under the service of the former target at the address."""
+    rig = rig_of()
+    await announce(rig, announcement())
+    rig.registration.on_settings("s2")
+    rig.record()
+    assert rig.status.service == "s2" and not rig.status.accepts_calls
+    assert await announce(rig, announcement(sequence=9)) is RECORDED
+    assert rig.status.service == "s2" and not rig.status.accepts_calls
+    assert await announce(rig, announcement("i-2", 2000, service="s2")) is RECORDED
+    assert rig.status.accepts_calls
--- a/tests/test_targetlife.py
+++ b/tests/test_targetlife.py
@@ -6,6 +6,8 @@
 import pytest
 import targetsim
 
+SEEDS = (*range(1, 25), 62, 73, 97, 175, 263, 365)
+
 
 def check(script, seed=1):
     """Play a script without random disturbances; it must break no rule."""
@@ -98,3 +100,10 @@
         await world.watch_for(5.0)
 
     check(script)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_lives_of_targets_break_no_rule(seed):
+    """Guards against calls to targets that left, and callers of the wrong service."""
+    world = targetsim.play(seed)
+    assert not world.faults, "\n".join(world.trace)
--- a/tests/test_targetstatus.py
+++ b/tests/test_targetstatus.py
@@ -70,7 +70,7 @@
     late = announcement(started_at_ms=29_000)
     assert not status.on_announcement(33.0, late)
     restarted = targetstatus.TargetStatus(require_announcement=True)
-    restarted.restore(status.label)
+    restarted.restore(status.label, "")
     restarted.on_recorded_departure(32.0, status.departed)
     assert not restarted.on_announcement(33.0, late)
     assert not restarted.accepts_calls
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -119,6 +119,7 @@
         self.metrics = metrics.Metrics(
             settings.get("metrics", "statsd"), settings.get("metrics", "prefix")
         )
+        self._configured_service: str = self._get("service")
         # Service whose calls this daemon accepts.
         self.service: str = self.target_status.service or self._get("service")
         self.tokens = calls.TokenTable()
@@ -225,8 +226,17 @@
         return self._settings.file
 
     def reload(self, settings: config.Settings) -> None:
-        """Apply the control addresses of changed settings; others need a restart."""
+        """Apply control addresses and service of changed settings.
+
+        Other changes need a restart.
+        """
         self.source.set_control_addresses(control_addresses(settings))
+        service = settings.get("daemon", "service")
+        if service != self._configured_service:
+            self._configured_service = service
+            self.registration.on_settings(service)
+            self._change_service(service)
+            self._apply_target_status()
 
     async def listen(self, listener: httpserver.Listener) -> None:
         """Open a further listener; raises OSError if its address cannot be bound."""
@@ -403,29 +413,33 @@
         """
         state = self.source.state
         return (
-            service in (self.service, self._get("service"))
+            service in (self.service, self._configured_service)
             or service in state.services
             or any(service in route.services for route in state.routes.values())
         )
 
     def _apply_target_status(self) -> None:
         status = self.target_status
-        if status.service not in ("", self.service):
-            self._change_service(status.service)
+        self._change_service(status.service or self.service)
+        is_as_configured = self.service == self._configured_service
+        self.source.set_service(
+            self.service, "" if is_as_configured else self._configured_service
+        )
         self.dispatcher.on_target_status()
         if self.registration.is_restored:
             self.source.set_ready(status.accepts_calls, status.label, status.departed)
 
     def _change_service(self, service: str) -> None:
         """Serve a target of another service, which uses the target's address now."""
+        if service == self.service:
+            return
         logging.warning(
-            "target %s is one of %s instead of %s",
-            self.target_status.label,
+            "the target is one of %s instead of %s; the newest known is %s",
             service,
             self.service,
+            self.target_status.label,
         )
         self.service = self.peers.service = self.entry.service = service
-        self.source.set_service(service)
         self._apply_service_options(self.source.state)
 
     def _on_target_leaving(self) -> None:
@@ -516,6 +530,7 @@
         return registration.Registration(
             (identity.name, identity.incarnation),
             (self._get("target_address"), identity.data_centre),
+            self._configured_service,
             self.target_status,
             self.source,
             self._knows_service,
--- a/toucanfold/interfaces.py
+++ b/toucanfold/interfaces.py
@@ -27,8 +27,8 @@
     ) -> None:
         """Announce whether this daemon's target accepts calls, and its labels."""
 
-    def set_service(self, service: str) -> None:
-        """Announce that this daemon's target is now one of another service."""
+    def set_service(self, service: str, configured_service: str = "") -> None:
+        """Announce the target's service, and that of the settings if it differs."""
 
     def wake(self) -> None:
         """Report to control soon instead of at the next regular time."""
@@ -72,7 +72,7 @@
         """Record the announcement."""
         self.events.append("ready" if is_ready else "not ready")
 
-    def set_service(self, service: str) -> None:
+    def set_service(self, service: str, configured_service: str = "") -> None:
         """Record the announcement."""
         self.events.append(f"service {service}")
 
--- a/toucanfold/messages.capnp
+++ b/toucanfold/messages.capnp
@@ -193,6 +193,7 @@
   state @6 :Text;
   targetInstance @7 :Text;
   departed @8 :Text;
+  configuredService @9 :Text;
 }
 
 struct SlotMark {
--- a/toucanfold/messages.py
+++ b/toucanfold/messages.py
@@ -299,6 +299,7 @@
     """A daemon's description of its target; state is up or draining.
 
     target_instance and departed are labels of targetstatus.TargetStatus.
+    configured_service is the service of the daemon's settings, empty if it is the same.
     """
 
     name: str = ""
@@ -310,6 +311,7 @@
     state: str = "up"
     target_instance: str = ""
     departed: str = ""
+    configured_service: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/model.py
+++ b/toucanfold/model.py
@@ -309,6 +309,7 @@
 
     incarnation counts starts of the daemon. target_instance labels the start of the
     target itself, and departed the last start that left or is leaving.
+    configured_service is the service of the daemon's settings, empty if it is the same.
     """
 
     name: str
@@ -321,6 +322,7 @@
     revision: int = 0
     target_instance: str = ""
     departed: str = ""
+    configured_service: str = ""
 
     def validation_error(self) -> str:
         """Return what is wrong with the values, or an empty string."""
@@ -336,7 +338,7 @@
         labels = (self.target_instance, self.departed)
         if not all(not text or INSTANCE_PATTERN.fullmatch(text) for text in labels):
             return "an instance is not labelled with its start time and id"
-        return ""
+        return self.configured_service and _name_error(self.configured_service)
 
 
 @dataclasses.dataclass(slots=True)
--- a/toucanfold/registration.py
+++ b/toucanfold/registration.py
@@ -35,6 +35,7 @@
     __slots__ = (
         "_address",
         "_changed",
+        "_configured_service",
         "_data_centre",
         "_incarnation",
         "_knows_service",
@@ -50,6 +51,7 @@
         self,
         identity: tuple[str, int],
         location: tuple[str, str],
+        service: str,
         status: targetstatus.TargetStatus,
         source: interfaces.StateSource,
         knows_service: Callable[[str], bool],
@@ -58,10 +60,12 @@
         """Create a registration.
 
         identity is the daemon's name and incarnation, location the target's address and
-        data centre. on_change is called when the status has changed.
+        data centre, service that of the settings. on_change is called when the status
+        has changed.
         """
         self._name, self._incarnation = identity
         self._address, self._data_centre = location
+        self._configured_service = service
         self._status = status
         self._source = source
         self._knows_service = knows_service
@@ -107,6 +111,12 @@
             return Confirmation.NOT_RECORDED
         return await self._wait_until_recorded(now)
 
+    def on_settings(self, service: str) -> None:
+        """Apply the service of changed settings, which are newer than the target."""
+        if service != self._configured_service:
+            self._configured_service = service
+            self._status.on_service_changed(service)
+
     def on_state(self, now: float, unix_s: float) -> bool:
         """Apply the directory's record of the target; False if nothing changes.
 
@@ -129,12 +139,19 @@
     def _restore(self, unix_s: float, recorded: model.Target | None) -> None:
         self.is_restored = True
         if recorded is not None:
-            self._status.restore(recorded.target_instance)
+            self._restore_newest(recorded)
         for announcement in self._pending:
             if self._is_own(announcement):
                 self._status.on_announcement(unix_s, announcement)
         self._pending.clear()
 
+    def _restore_newest(self, recorded: model.Target) -> None:
+        configured = recorded.configured_service or recorded.service
+        self._status.restore(recorded.target_instance, recorded.service)
+        if configured != self._configured_service:
+            # The settings have changed since the start was recorded.
+            self._status.on_service_changed(self._configured_service)
+
     def _apply(self, unix_s: float, announcement: targetstatus.Announcement) -> None:
         if self._status.on_announcement(unix_s, announcement):
             self._on_change()
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -187,23 +187,40 @@
         return instance in self._terminated
 
     def contradicts(self, announcement: Announcement) -> bool:
-        """Whether the same start has stated another service before."""
-        return self.start == (
-            announcement.instance,
-            announcement.started_at_ms,
-        ) and not self.serves(announcement.service)
+        """Whether the same start, which has not left, has stated another service."""
+        newest = self._newest
+        return (
+            newest is not None
+            and self.start == (announcement.instance, announcement.started_at_ms)
+            and not self.serves(announcement.service)
+            and not self._is_terminated(newest)
+        )
 
-    def restore(self, label: str) -> None:
+    def restore(self, label: str, service: str) -> None:
         """Apply the newest start that the directory of targets records.
 
         No call goes to it until it announces itself again; earlier starts are stale.
         """
         text, _, instance = label.partition("/")
-        if instance and (self._newest is None or int(text) > self.start[1]):
+        if not instance or not self._require_announcement:
+            return
+        if self._newest is None or int(text) > self.start[1]:
             self._newest = Announcement(
-                instance, int(text), RESTORED_SEQUENCE, False, concurrency_limit=0
+                instance,
+                int(text),
+                RESTORED_SEQUENCE,
+                is_ready=False,
+                concurrency_limit=0,
+                service=service,
             )
 
+    def on_service_changed(self, service: str) -> None:
+        """Await a target of another service, for which the newest instance has left."""
+        newest = self._newest
+        if newest is not None and newest.service != service:
+            self._depart(newest.instance, newest.started_at_ms)
+            self._newest = dataclasses.replace(newest, service=service)
+
     def on_leaving(self, unix_s: float, label: str) -> bool:
         """Apply a response that states that its instance is leaving.
 
--- a/toucanfold/watch.py
+++ b/toucanfold/watch.py
@@ -178,9 +178,10 @@
         self._hurried_until = asyncio.get_running_loop().time() + HURRY_S
         self._wake.set()
 
-    def set_service(self, service: str) -> None:
-        """Announce that the target is one of this service from now on."""
+    def set_service(self, service: str, configured_service: str = "") -> None:
+        """Announce the target's service, and that of the settings if it differs."""
         self._announcement.service = service
+        self._announcement.configured_service = configured_service
         self._wake.set()
 
     async def drain(self) -> None:
--- a/toucanfold/watchers.py
+++ b/toucanfold/watchers.py
@@ -25,7 +25,7 @@
 ANNOUNCEMENT_FIELDS = tuple(
     field.name for field in dataclasses.fields(messages.Announcement)
 )
-LABELS = ("target_instance", "departed")
+OPTIONAL_FIELDS = ("target_instance", "departed", "configured_service")
 announcement_values = operator.attrgetter(*ANNOUNCEMENT_FIELDS)
 demand_values = operator.attrgetter(
     *(field.name for field in dataclasses.fields(messages.Demand))
@@ -35,11 +35,14 @@
 def announced_fields(announcement: messages.Announcement) -> dict[str, Any]:
     """Return an announcement as the target of a command.
 
-    Empty labels are left out: members of an earlier build refuse fields that they do
-    not know, and apply the same command while control is upgraded.
+    Optional fields are left out where they are empty: members of an earlier build
+    refuse fields that they do not know, and apply the same command while control is
+    upgraded.
     """
     values = zip(ANNOUNCEMENT_FIELDS, announcement_values(announcement), strict=True)
-    return {field: value for field, value in values if value or field not in LABELS}
+    return {
+        field: value for field, value in values if value or field not in OPTIONAL_FIELDS
+    }
 
 
 @dataclasses.dataclass(slots=True)
