Fail answers whose status line HTTP/1.1 does not define

What callers saw: an answer of a target with status 600 or 999, or of HTTP/9.9 or HTTP/0.9, was passed on with its body and seal.

Cause: the check of the status line was left to h11, which accepts any three digits from 100 and any digits as the version.

Change: an exchange fails if the status is 600 or more or the major version is not 1. The connection is closed, and the caller gets 502 as for other malformed answers.

--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -5,7 +5,7 @@
 import pytest
 from returns import result
 
-from toucanfold import httpclient, link
+from toucanfold import bodies, httpclient, link
 
 
 async def exchange(pool, path="/"):
@@ -177,3 +177,66 @@
         assert len(opened) == connections
 
     with_target(serve_connection, check)
+
+
+def seal_of(body):
+    return b"Content-Length: %d\r\nResponse-Seal: seal\r\n\r\n" % len(body)
+
+
+ODD_STATUS_LINES = (
+    b"HTTP/1.1 000 Odd",
+    b"HTTP/1.1 099 Odd",
+    b"HTTP/1.1 20 Odd",
+    b"HTTP/1.1 2000 Odd",
+    b"HTTP/1.1 -20 Odd",
+    b"HTTP/1.1 2x0 Odd",
+    b"HTTP/1.1",
+    b"HTTP/1.1 0200 Odd",
+    b"HTTP/1.1 600 Odd",
+    b"HTTP/1.1 999 Odd",
+    b"HTTP/9.9 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/9.9 100 Continue",
+)
+
+
+@pytest.mark.parametrize("body", [b"ok", bytes(bodies.MAX_BUFFERED_BODY_BYTES + 1)])
+@pytest.mark.parametrize("step", [1 << 20, 7])
+@pytest.mark.parametrize("line", ODD_STATUS_LINES)
+def test_answer_with_a_status_line_that_http_does_not_define_fails(line, step, body):
+    """Guards against an answer of a target in trouble that passes for a whole one."""
+
+    async def serve_connection(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = line + b"\r\n" + seal_of(body)
+        for start in range(0, len(head), step):
+            writer.write(head[start : start + step])
+            await writer.drain()
+            await asyncio.sleep(0)
+        writer.write(body)
+        await reader.read()
+
+    async def check(pool):
+        failed = await exchange(pool)
+        assert isinstance(failed, result.Failure)
+        assert failed.failure().sent
+        await helpers.eventually(lambda: len(pool) == 0)
+
+    with_target(serve_connection, check)
+
+
+@pytest.mark.parametrize("line", [b"HTTP/1.0 200 OK", b"HTTP/1.1 599 Odd"])
+def test_answer_with_a_defined_status_line_passes(line):
+    """Guards against a check that refuses sound answers."""
+
+    async def serve_connection(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(line + b"\r\n" + seal_of(b"ok") + b"ok")
+        await reader.read()
+
+    async def check(pool):
+        response = (await exchange(pool)).unwrap()
+        assert (response.status, response.body) == (int(line.split()[1]), b"ok")
+
+    with_target(serve_connection, check)
--- a/toucanfold/httpclient.py
+++ b/toucanfold/httpclient.py
@@ -29,6 +29,8 @@
 # that no request crosses the target's close.
 KEEP_ALIVE_MARGIN_S = 0.5
 _KEEP_ALIVE_PATTERN = re.compile(rb"(?:^|[ ,])timeout *= *([0-9]{1,9})", re.IGNORECASE)
+# Status codes that HTTP defines are below this one; the parser accepts all of 3 digits.
+STATUS_LIMIT = 600
 # Most informational (1xx) responses before the response of one exchange.
 MAX_INFORMATIONAL_RESPONSES = 16
 # Most responses to earlier requests that are skipped in one exchange.
@@ -298,8 +300,10 @@
     def on_event(self, event: Any) -> None:
         """Handle an event other than a chunk of a body."""
         if type(event) is h11.Response:
+            _check_status_line(event)
             self._on_response_head(event)
         elif type(event) is h11.InformationalResponse:
+            _check_status_line(event)
             self._on_informational_response()
         elif type(event) is h11.EndOfMessage:
             self._on_response_end()
@@ -496,6 +500,15 @@
         )
 
 
+def _check_status_line(event: h11.Response | h11.InformationalResponse) -> None:
+    """Raise unless the status line is one of HTTP/1 with a status that HTTP defines."""
+    if not event.http_version.startswith(b"1.") or event.status_code >= STATUS_LIMIT:
+        raise h11.RemoteProtocolError(
+            f"the status line names HTTP/{event.http_version.decode('latin-1')} "
+            f"and status {event.status_code}"
+        )
+
+
 def _new_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
 
