Compare the members of a group once they are at equal positions

The test failed at times: a proposal whose outcome was not known was committed late and proposed again, and the check compared the members after the first of the two entries, before all had applied the second. It now waits until all end with the same entry, and compares all entries as before.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -244,9 +244,13 @@
             disks[name].is_full = False
         assert await propose_anywhere(group, b"last", 10.0) <= ACK_TIMEOUT_S
         nodes = list(group.nodes.values())
-        await fleet.until(
-            lambda: all(node.machine.items[-1][1] == "last" for node in nodes)
-        )
+
+        def ended_equally():
+            # A proposal whose outcome was unknown may be committed twice.
+            newest = {node.machine.items[-1] for node in nodes}
+            return len(newest) == 1 and newest.pop()[1] == "last"
+
+        await fleet.until(ended_equally)
         assert len({str(node.machine.items) for node in nodes}) == 1
         await group.stop_all()
         for name in order:
