--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -119,7 +119,6 @@
         self.metrics = metrics.Metrics(
             settings.get("metrics", "statsd"), settings.get("metrics", "prefix")
         )
-        self._configured_service: str = self._get("service")
         # Service whose calls this daemon accepts.
         self.service: str = self.target_status.service or self._get("service")
         self.tokens = calls.TokenTable()
@@ -232,8 +231,7 @@
         """
         self.source.set_control_addresses(control_addresses(settings))
         service = settings.get("daemon", "service")
-        if service != self._configured_service:
-            self._configured_service = service
+        if service != self.registration.configured_service:
             self.registration.on_settings(service)
             self._change_service(service)
             self._apply_target_status()
@@ -413,7 +411,7 @@
         """
         state = self.source.state
         return (
-            service in (self.service, self._configured_service)
+            service in (self.service, self.registration.configured_service)
             or service in state.services
             or any(service in route.services for route in state.routes.values())
         )
@@ -421,10 +419,10 @@
     def _apply_target_status(self) -> None:
         status = self.target_status
         self._change_service(status.service or self.service)
-        is_as_configured = self.service == self._configured_service
-        self.source.set_service(
-            self.service, "" if is_as_configured else self._configured_service
-        )
+        configured_service = self.registration.configured_service
+        if configured_service == self.service:
+            configured_service = ""
+        self.source.set_service(self.service, configured_service)
         self.dispatcher.on_target_status()
         if self.registration.is_restored:
             self.source.set_ready(status.accepts_calls, status.label, status.departed)
@@ -530,7 +528,7 @@
         return registration.Registration(
             (identity.name, identity.incarnation),
             (self._get("target_address"), identity.data_centre),
-            self._configured_service,
+            self._get("service"),
             self.target_status,
             self.source,
             self._knows_service,
--- a/toucanfold/registration.py
+++ b/toucanfold/registration.py
@@ -35,7 +35,6 @@
     __slots__ = (
         "_address",
         "_changed",
-        "_configured_service",
         "_data_centre",
         "_incarnation",
         "_knows_service",
@@ -44,6 +43,7 @@
         "_pending",
         "_source",
         "_status",
+        "configured_service",
         "is_restored",
     )
 
@@ -65,7 +65,7 @@
         """
         self._name, self._incarnation = identity
         self._address, self._data_centre = location
-        self._configured_service = service
+        self.configured_service = service
         self._status = status
         self._source = source
         self._knows_service = knows_service
@@ -113,9 +113,8 @@
 
     def on_settings(self, service: str) -> None:
         """Apply the service of changed settings, which are newer than the target."""
-        if service != self._configured_service:
-            self._configured_service = service
-            self._status.on_service_changed(service)
+        self.configured_service = service
+        self._status.on_service_changed(service)
 
     def on_state(self, now: float, unix_s: float) -> bool:
         """Apply the directory's record of the target; False if nothing changes.
@@ -148,9 +147,9 @@
     def _restore_newest(self, recorded: model.Target) -> None:
         configured = recorded.configured_service or recorded.service
         self._status.restore(recorded.target_instance, recorded.service)
-        if configured != self._configured_service:
+        if configured != self.configured_service:
             # The settings have changed since the start was recorded.
-            self._status.on_service_changed(self._configured_service)
+            self._status.on_service_changed(self.configured_service)
 
     def _apply(self, unix_s: float, announcement: targetstatus.Announcement) -> None:
         if self._status.on_announcement(unix_s, announcement):
