Do not confirm a departure while calls are sent to the instance

Related paths of the rejected announcements, found by reading: an announcement that is whole but states a start far in the future made the target's own draining one of an earlier start, which was confirmed while calls went on to the same id.

Starts more than 60 s in the future are rejected now, and the departure of an earlier start under an id that is in use is answered 503.

--- a/tests/targetsim.py
+++ b/tests/targetsim.py
@@ -520,6 +520,7 @@
     _with("127.0.0.1:1", "address"),
     _with("127.0.0.1", "address"),
     _with("elsewhere", "info", "zone"),
+    _with(int((EPOCH_S + 3600) * 1000), "born"),
 )
 
 
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -103,6 +103,15 @@
     assert not rig.status.accepts_calls
 
 
+@scenario
+async def test_departure_of_a_start_whose_id_is_used_is_not_confirmed():
+    """Guards against a promise about an instance to which calls are sent."""
+    rig = rig_of()
+    await announce(rig, announcement(started_at_ms=2000))
+    assert await drain(rig) is NOT_RECORDED
+    assert rig.status.accepts_calls
+
+
 @scenario
 async def test_restarted_daemon_remembers_the_instance_that_withdraws():
     """Guards against a late announcement that revives an instance which left while
@@ -183,6 +192,7 @@
         {"address": "10.0.0.1"},
         {"data_centre": "elsewhere"},
         {"service": "unknown"},
+        {"started_at_ms": int((helpers.EPOCH_S + 61) * 1000)},
     ],
 )
 def test_announcement_of_another_target_is_rejected(change):
--- a/toucanfold/registration.py
+++ b/toucanfold/registration.py
@@ -15,6 +15,8 @@
 # Time in which control should record what a target stated. A target waits a second for
 # the confirmation and then sends its announcement again.
 CONFIRMATION_TIMEOUT_S = 0.8
+# Most by which the clocks of a target and its daemon differ.
+MAX_CLOCK_DIFFERENCE_S = 60.0
 # Announcements that are kept until the directory's record is known.
 MAX_PENDING_ANNOUNCEMENTS = 16
 
@@ -91,9 +93,16 @@
             del self._pending[:-MAX_PENDING_ANNOUNCEMENTS]
             if not await self._wait_until(now, lambda: self.is_restored):
                 return Confirmation.NOT_RECORDED
-        if not self._is_own(announcement):
+        if not self._is_own(unix_s, announcement):
             return Confirmation.REJECTED
-        self._apply(unix_s, announcement)
+        if self._status.on_announcement(unix_s, announcement):
+            self._on_change()
+        if not announcement.is_ready and self._status.uses(announcement.instance):
+            logging.warning(
+                "departure of an earlier start of %s, which is used",
+                announcement.instance,
+            )
+            return Confirmation.NOT_RECORDED
         return await self._wait_until_recorded(now)
 
     async def withdraw(self, now: float, unix_s: float, instance: str) -> Confirmation:
@@ -140,7 +149,7 @@
         if recorded is not None:
             self._restore_newest(recorded)
         for announcement in self._pending:
-            if self._is_own(announcement):
+            if self._is_own(unix_s, announcement):
                 self._status.on_announcement(unix_s, announcement)
         self._pending.clear()
 
@@ -151,15 +160,13 @@
             # The settings have changed since the start was recorded.
             self._status.on_service_changed(self.configured_service)
 
-    def _apply(self, unix_s: float, announcement: targetstatus.Announcement) -> None:
-        if self._status.on_announcement(unix_s, announcement):
-            self._on_change()
-
-    def _is_own(self, announcement: targetstatus.Announcement) -> bool:
+    def _is_own(self, unix_s: float, announcement: targetstatus.Announcement) -> bool:
         """Whether an announcement agrees with what is known of the target."""
+        latest_start_ms = (unix_s + MAX_CLOCK_DIFFERENCE_S) * 1000
         return (
             announcement.address == self._address
             and announcement.data_centre == self._data_centre
+            and announcement.started_at_ms <= latest_start_ms
             and self._knows_service(announcement.service)
             and not self._status.contradicts(announcement)
         )
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -186,6 +186,10 @@
             return self._is_terminated(newest)
         return instance in self._terminated
 
+    def uses(self, instance: str) -> bool:
+        """Whether calls are sent to this instance."""
+        return self.accepts_calls and self.instance == instance
+
     def contradicts(self, announcement: Announcement) -> bool:
         """Whether the same start, which has not left, has stated another service."""
         newest = self._newest
