Ignore late first reports of targets from before a change of the settings

Cause: the change of the settings ended the newest known start only, and here none was known. The label of a withdrawal holds its time, which was equal to the start of the next target.

Change: starts of other services from before the change are stale; a departure whose label is that of a newer start is announced one millisecond earlier.

--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -251,10 +251,19 @@
     """Guards against calls under the service of the former target at the address."""
     rig = rig_of()
     await announce(rig, announcement())
-    rig.registration.on_settings("s2")
+    rig.registration.on_settings(helpers.EPOCH_S, "s2")
     rig.record()
     assert rig.status.service == "s2" and not rig.status.accepts_calls
     assert await announce(rig, announcement(sequence=9)) is RECORDED
     assert rig.status.service == "s2" and not rig.status.accepts_calls
     assert await announce(rig, announcement("i-2", 2000, service="s2")) is RECORDED
     assert rig.status.accepts_calls
+
+
+@scenario
+async def test_late_first_announcement_of_the_former_target_changes_no_service():
+    """Guards against a target that ended before its first announcement arrived."""
+    rig = rig_of()
+    rig.registration.on_settings(helpers.EPOCH_S, "s2")
+    await announce(rig, announcement())
+    assert rig.status.service == "" and not rig.status.accepts_calls
--- a/toucanfold/daemon.py
+++ b/toucanfold/daemon.py
@@ -232,7 +232,7 @@
         self.source.set_control_addresses(control_addresses(settings))
         service = settings.get("daemon", "service")
         if service != self.registration.configured_service:
-            self.registration.on_settings(service)
+            self.registration.on_settings(time.time(), service)
             self._change_service(service)
             self._apply_target_status()
 
--- a/toucanfold/registration.py
+++ b/toucanfold/registration.py
@@ -120,10 +120,13 @@
             return Confirmation.NOT_RECORDED
         return await self._wait_until_recorded(now)
 
-    def on_settings(self, service: str) -> None:
-        """Apply the service of changed settings, which are newer than the target."""
+    def on_settings(self, unix_s: float, service: str) -> None:
+        """Apply the service of changed settings, which are newer than the target.
+
+        unix_s is the Unix time (s).
+        """
         self.configured_service = service
-        self._status.on_service_changed(service)
+        self._status.on_service_changed(unix_s, service)
 
     def on_state(self, now: float, unix_s: float) -> bool:
         """Apply the directory's record of the target; False if nothing changes.
@@ -147,18 +150,18 @@
     def _restore(self, unix_s: float, recorded: model.Target | None) -> None:
         self.is_restored = True
         if recorded is not None:
-            self._restore_newest(recorded)
+            self._restore_newest(unix_s, recorded)
         for announcement in self._pending:
             if self._is_own(unix_s, announcement):
                 self._status.on_announcement(unix_s, announcement)
         self._pending.clear()
 
-    def _restore_newest(self, recorded: model.Target) -> None:
+    def _restore_newest(self, unix_s: float, recorded: model.Target) -> None:
         configured = recorded.configured_service or recorded.service
         self._status.restore(recorded.target_instance, recorded.service)
         if configured != self.configured_service:
             # The settings have changed since the start was recorded.
-            self._status.on_service_changed(self.configured_service)
+            self._status.on_service_changed(unix_s, self.configured_service)
 
     def _is_own(self, unix_s: float, announcement: targetstatus.Announcement) -> bool:
         """Whether an announcement agrees with what is known of the target."""
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -65,6 +65,7 @@
         "_is_unannounced_leaving",
         "_newest",
         "_require_announcement",
+        "_service_change",
         "_terminated",
         "_unannounced_departure_ms",
         "_withdrawn",
@@ -77,6 +78,8 @@
         # Start times (Unix ms) of instances that left, are leaving or have a
         # successor, by id.
         self._terminated: dict[str, int] = {}
+        # Service that replaced another one, and Unix time (ms) of the change.
+        self._service_change = ("", 0)
         # Id of the last withdrawn instance, and Unix time (ms) of the withdrawal.
         self._withdrawn = ("", 0)
         # Label of the last one that stated its departure.
@@ -154,7 +157,7 @@
         newest = self._newest
         if self.contradicts(announcement) or self._is_terminated(announcement):
             return False
-        if self._is_withdrawn(unix_s, announcement):
+        if self._is_withdrawn(unix_s, announcement) or self._is_replaced(announcement):
             return False
         if newest is not None and announcement.started_at_ms < newest.started_at_ms:
             return False
@@ -218,9 +221,13 @@
                 service=service,
             )
 
-    def on_service_changed(self, service: str) -> None:
-        """Await a target of another service, for which the newest instance has left."""
+    def on_service_changed(self, unix_s: float, service: str) -> None:
+        """Await a target of another service; earlier starts of others have left.
+
+        unix_s is the Unix time (s).
+        """
         newest = self._newest
+        self._service_change = service, int(unix_s * 1000)
         if newest is not None and newest.service != service:
             self._depart(newest.instance, newest.started_at_ms)
             self._newest = dataclasses.replace(newest, service=service)
@@ -285,6 +292,10 @@
         if former is not None and former.instance != announcement.instance:
             self._terminate(former.instance, former.started_at_ms)
         self._newest = announcement
+        if self._departed == _label(announcement):
+            # An earlier start was withdrawn at a time that is the start of this one.
+            since_ms = announcement.started_at_ms - 1
+            self._departed = f"{since_ms}/{announcement.instance}"
 
     def _depart(self, instance: str, since_ms: int) -> None:
         newest = self._newest
@@ -332,6 +343,12 @@
             and unix_s * 1000 < left_ms + WITHDRAWAL_S * 1000
         )
 
+    def _is_replaced(self, announcement: Announcement) -> bool:
+        service, changed_ms = self._service_change
+        return (
+            announcement.started_at_ms < changed_ms and announcement.service != service
+        )
+
     def _is_terminated(self, announcement: Announcement) -> bool:
         # An id may be reused by a later start; earlier starts remain terminated.
         return announcement.started_at_ms <= self._terminated.get(
