--- a/tests/targetsim.py
+++ b/tests/targetsim.py
@@ -25,6 +25,7 @@
     link,
     messages,
     store,
+    targetstatus,
     tls,
     watch,
     watchers,
@@ -218,7 +219,7 @@
     def start_daemon(self):
         settings = self.write_settings()
         setup = (settings, fleetparts.SECRET, tls.Contexts())
-        status = daemon.targetstatus.TargetStatus(require_announcement=True)
+        status = targetstatus.TargetStatus(require_announcement=True)
         self.daemon = daemon.make(setup, fields.PlatformHeaderFormat(), status)
         self.listeners = {
             listener.option: listener.handler
--- a/toucanfold/targetstatus.py
+++ b/toucanfold/targetstatus.py
@@ -298,6 +298,11 @@
             self._departed = f"{since_ms}/{announcement.instance}"
 
     def _depart(self, instance: str, since_ms: int) -> None:
+        """Record the departure of an instance.
+
+        since_ms is the start that departs, or the time (Unix ms) of a withdrawal, which
+        does not tell its start.
+        """
         newest = self._newest
         is_later = newest is not None and newest.started_at_ms < since_ms
         if newest is not None and newest.instance == instance and is_later:
