--- a/tests/test_reusedaddress.py
+++ b/tests/test_reusedaddress.py
@@ -29,7 +29,14 @@
 
 
 async def announce(
-    fleet, daemon, instance, service, started_at_ms, state="ready", sequence=1, **rig
+    fleet,
+    daemon,
+    instance,
+    service,
+    started_at_ms,
+    state="ready",
+    sequence=1,
+    is_recorded=True,
 ):
     """Announce a target to its daemon as the platform does; return the status."""
     body = {
@@ -45,7 +52,7 @@
         )
     )
     await asyncio.sleep(0)
-    if rig.get("is_recorded", True):
+    if is_recorded:
         fleet.record("a")
     return (await answering).status
 
