--- a/review/standins3/fleet3.py
+++ b/review/standins3/fleet3.py
@@ -281,10 +281,9 @@
         return await case
 
 
-def run_case(main: Any, record_folder: str, controls: int = 3) -> int:
+def run_case(main: Any, record_folder: str, trouble: bool, controls: int = 3) -> int:
     """Run main(fleet, record, trouble) and return the exit status of the case."""
     record = Record(pathlib.Path(record_folder) / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble={int(trouble)}")
     fleet = None
     signal.signal(signal.SIGTERM, signal.default_int_handler)
